Add settings, operators' files, publishing, keys and routes

Cause: nothing could read an operator's wish yet.

Ruled out: decoding YAML into structs, which stops at the first mistake and loses the line; the files are read field by field from the syntax tree.

Change: the packages document, settings, config, key, publish and route, the subcommand check, and two examples. A configuration above the store's largest value is cut into chunks whose ends depend on the content.

Publishing has no test yet.

--- a/cmd/sassafrastray/main.go
+++ b/cmd/sassafrastray/main.go
@@ -12,6 +12,7 @@
 type (
 	// cli is the command line; each subcommand is in a file of its own.
 	cli struct {
+		Check   checkCmd   `cmd:"" help:"Check operators' files."`
 		Version versionCmd `cmd:"" help:"Print the program's version."`
 	}
 
--- /dev/null
+++ b/internal/platform/config/chunk.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"sassafrastray"
+)
+
+// Kinds of lines in a chunk, with the space that follows.
+const (
+	fleetLine   = "fleet "
+	serviceLine = "service "
+	blockLine   = "block "
+)
+
+// Sizes of chunks in bytes before compression.
+const (
+	meanChunk = 128 << 10
+	minChunk  = 16 << 10
+	maxChunk  = 512 << 10
+
+	// maxPlain bounds what a chunk may unpack to, so that a wrong object
+	// can't fill the memory.
+	maxPlain = 64 << 20
+)
+
+// lines returns the content of a sorted configuration, without number and
+// publish id: a line for the fleet, one for each service, one for each block.
+func lines(c *sassafrastray.Config) [][]byte {
+	out := make([][]byte, 0, 1+len(c.Services)+len(c.Fleet.Blocks))
+	out = append(out, line(fleetLine, marshal(withoutBlocks(c.Fleet))))
+	for i := range c.Services {
+		out = append(out, line(serviceLine, marshal(&c.Services[i])))
+	}
+	// One buffer for all blocks, since there are so many of them.
+	buf := make([]byte, 0, len(c.Fleet.Blocks)*40)
+	for _, b := range c.Fleet.Blocks {
+		start := len(buf)
+		buf = append(buf, blockLine...)
+		buf = b.Prefix.AppendTo(buf)
+		buf = append(buf, ' ')
+		buf = append(buf, b.Region...)
+		buf = append(buf, '\n')
+		out = append(out, buf[start:len(buf):len(buf)])
+	}
+	return out
+}
+
+func withoutBlocks(f sassafrastray.Fleet) sassafrastray.Fleet {
+	f.Blocks = []sassafrastray.Block{}
+	return f
+}
+
+func line(kind string, json []byte) []byte {
+	out := make([]byte, 0, len(kind)+len(json)+1)
+	out = append(out, kind...)
+	out = append(out, json...)
+	return append(out, '\n')
+}
+
+func size(lines [][]byte) int {
+	n := 0
+	for _, l := range lines {
+		n += len(l)
+	}
+	return n
+}
+
+// cut splits lines into chunks. Where a chunk ends depends on the lines near
+// its end alone, so that a changed line changes one chunk, or two, and leaves
+// the others. The kinds of lines do not share chunks.
+func cut(lines [][]byte) [][]byte {
+	var (
+		out     [][]byte
+		current []byte
+	)
+	for i, l := range lines {
+		current = append(current, l...)
+		last := i == len(lines)-1 || l[0] != lines[i+1][0]
+		if last || len(current) >= maxChunk || len(current) >= minChunk && ends(l) {
+			out = append(out, current)
+			current = nil
+		}
+	}
+	return out
+}
+
+// ends tells whether a chunk may end after the line: for one byte in
+// meanChunk on average, so a longer line ends one more often.
+func ends(line []byte) bool {
+	return xxhash.Sum64(line)%uint64(max(1, meanChunk/len(line))) == 0
+}
+
+func readLine(c *sassafrastray.Config, l []byte) error {
+	l = bytes.TrimSuffix(l, []byte("\n"))
+	switch {
+	case bytes.HasPrefix(l, []byte(fleetLine)):
+		return errors.Wrap(unmarshal(l[len(fleetLine):], &c.Fleet), "fleet")
+	case bytes.HasPrefix(l, []byte(serviceLine)):
+		var s sassafrastray.Service
+		if err := unmarshal(l[len(serviceLine):], &s); err != nil {
+			return errors.Wrap(err, "service")
+		}
+		c.Services = append(c.Services, s)
+		return nil
+	case bytes.HasPrefix(l, []byte(blockLine)):
+		b, err := readBlock(l[len(blockLine):], c.Fleet.Blocks)
+		c.Fleet.Blocks = append(c.Fleet.Blocks, b)
+		return err
+	}
+	return errors.New("a line of unknown kind")
+}
+
+// readBlock parses a block. Neighbours in a list mostly lie in the same
+// region and then share its name in memory.
+func readBlock(l []byte, before []sassafrastray.Block) (sassafrastray.Block, error) {
+	prefix, region, ok := bytes.Cut(l, []byte(" "))
+	if !ok {
+		return sassafrastray.Block{}, errors.New("a block without region")
+	}
+	p, err := netip.ParsePrefix(string(prefix))
+	if err != nil {
+		return sassafrastray.Block{}, errors.Wrap(err, "block")
+	}
+	if n := len(before); n > 0 && string(before[n-1].Region) == string(region) {
+		return sassafrastray.Block{Prefix: p, Region: before[n-1].Region}, nil
+	}
+	return sassafrastray.Block{Prefix: p, Region: sassafrastray.RegionName(region)}, nil
+}
+
+// pack compresses a chunk. Digests are those of the plain chunk, so two
+// versions of the library may compress it differently.
+func pack(plain []byte) []byte {
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	// Writes to a buffer never fail.
+	_, _ = w.Write(plain)
+	_ = w.Close()
+	return buf.Bytes()
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack")
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, maxPlain+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack")
+	}
+	if len(plain) > maxPlain {
+		return nil, errors.Newf("unpacks to more than %d bytes", maxPlain)
+	}
+	return plain, nil
+}
--- /dev/null
+++ b/internal/platform/config/head.go
@@ -0,0 +1,190 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafrastray"
+)
+
+// Keys of the configuration's objects in the store.
+const (
+	HeadKey     = "config/head"
+	ChunkPrefix = "config/chunk/"
+)
+
+// Bounds on what a head remembers.
+const (
+	// MaxHistory is how many of the latest publishes a head names.
+	MaxHistory = 32
+	// KeepHeads is for how many heads a chunk outlives the last one that
+	// refers to it, so that a VM which still reads an older head finds it.
+	KeepHeads = 8
+)
+
+type (
+	// Digest is the SHA-256 digest of a chunk or of a whole configuration,
+	// in lower-case hexadecimal.
+	Digest string
+
+	// Head is the object that says which configuration is in force. It
+	// holds a small configuration itself and refers to the chunks of a
+	// large one.
+	Head struct {
+		Number  int64  `json:"number"`
+		Publish string `json:"publish"`
+		// Digest covers the content with its number and publish id.
+		Digest Digest          `json:"digest"`
+		Value  json.RawMessage `json:"value,omitempty"`
+		Chunks []Digest        `json:"chunks,omitempty"`
+		// Retired are chunks of earlier heads that are not deleted yet.
+		Retired []Retired `json:"retired,omitempty"`
+		// History has the latest publishes, the newest first.
+		History []Entry `json:"history,omitempty"`
+	}
+
+	// Entry says which publish made a number.
+	Entry struct {
+		Number  int64  `json:"number"`
+		Publish string `json:"publish"`
+	}
+
+	// Retired is a chunk that no head from Number on refers to. Version is
+	// the store's version of it at that time; whoever needs the chunk again
+	// writes it anew, so a deletion under this version can't take it away.
+	Retired struct {
+		Chunk   Digest `json:"chunk"`
+		Number  int64  `json:"number"`
+		Version int64  `json:"version"`
+	}
+)
+
+// Key returns the key of a chunk's object.
+func (d Digest) Key() string { return ChunkPrefix + string(d) }
+
+// ParseHead decodes the value of the head's object.
+func ParseHead(data []byte) (Head, error) {
+	var h Head
+	if err := unmarshal(data, &h); err != nil {
+		return Head{}, errors.Wrap(err, "configuration head")
+	}
+	return h, nil
+}
+
+// Encode returns the value of the head's object.
+func (h Head) Encode() []byte { return marshal(h) }
+
+// Made returns which publish made a number, and whether the head knows.
+func (h Head) Made(number int64) (string, bool) {
+	if h.Number == number {
+		return h.Publish, true
+	}
+	for _, e := range h.History {
+		if e.Number == number {
+			return e.Publish, true
+		}
+	}
+	return "", false
+}
+
+// Sum returns the digest of the whole configuration in canonical form.
+func Sum(c *sassafrastray.Config) Digest {
+	Sort(c)
+	return sum(c.Number, c.Publish, lines(c))
+}
+
+func sum(number int64, publish string, lines [][]byte) Digest {
+	h := sha256.New()
+	h.Write([]byte(strconv.FormatInt(number, 10) + " " + strconv.Quote(publish) + "\n"))
+	for _, l := range lines {
+		h.Write(l)
+	}
+	return Digest(hex.EncodeToString(h.Sum(nil)))
+}
+
+func digest(data []byte) Digest {
+	s := sha256.Sum256(data)
+	return Digest(hex.EncodeToString(s[:]))
+}
+
+// Split returns the head of the configuration, without history and retired
+// chunks, and the encoded chunks that it refers to, if any.
+func Split(c *sassafrastray.Config) (Head, map[Digest][]byte, error) {
+	return split(c, sassafrastray.MaxObject-reserve)
+}
+
+// reserve is the room in the head's object for what is beside the value.
+const reserve = 64 << 10
+
+func split(c *sassafrastray.Config, inline int) (Head, map[Digest][]byte, error) {
+	Sort(c)
+	all := lines(c)
+	h := Head{Number: c.Number, Publish: c.Publish, Digest: sum(c.Number, c.Publish, all)}
+	if size(all) <= inline {
+		if v := marshal(c); len(v) <= inline {
+			h.Value = v
+			return h, nil, nil
+		}
+	}
+	chunks := map[Digest][]byte{}
+	for _, plain := range cut(all) {
+		d := digest(plain)
+		h.Chunks = append(h.Chunks, d)
+		packed := pack(plain)
+		if len(packed) > sassafrastray.MaxObject {
+			return Head{}, nil, errors.Newf("a part of the configuration takes %d bytes, above the store's %d", len(packed), sassafrastray.MaxObject)
+		}
+		chunks[d] = packed
+	}
+	return h, chunks, nil
+}
+
+// Assemble returns the configuration that the head stands for. Fetch returns
+// the encoded chunk with the digest. A configuration whose content does not
+// match the head's digests is an error, never a result.
+func Assemble(h Head, fetch func(Digest) ([]byte, error)) (*sassafrastray.Config, error) {
+	var (
+		c   *sassafrastray.Config
+		err error
+	)
+	if len(h.Value) > 0 {
+		c, err = Decode(h.Value)
+	} else {
+		c, err = join(h, fetch)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if c.Number != h.Number || c.Publish != h.Publish || Sum(c) != h.Digest {
+		return nil, errors.Newf("configuration %d does not match its digest", h.Number)
+	}
+	return c, nil
+}
+
+func join(h Head, fetch func(Digest) ([]byte, error)) (*sassafrastray.Config, error) {
+	c := &sassafrastray.Config{Number: h.Number, Publish: h.Publish}
+	for _, d := range h.Chunks {
+		packed, err := fetch(d)
+		if err != nil {
+			return nil, errors.Wrapf(err, "chunk %s", d)
+		}
+		plain, err := unpack(packed)
+		if err != nil {
+			return nil, errors.Wrapf(err, "chunk %s", d)
+		}
+		if digest(plain) != d {
+			return nil, errors.Newf("chunk %s does not match its digest", d)
+		}
+		for line := range bytes.Lines(plain) {
+			if err := readLine(c, line); err != nil {
+				return nil, errors.Wrapf(err, "chunk %s", d)
+			}
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/platform/document/scalar.go
@@ -0,0 +1,248 @@
+package document
+
+import (
+	"math"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// units are the factors of sizes in bytes and of rates in bits or bytes per
+// second, in lower case.
+var units = map[string]float64{
+	"": 1, "b": 1, "kb": 1e3, "mb": 1e6, "gb": 1e9,
+	"kib": 1 << 10, "mib": 1 << 20, "gib": 1 << 30,
+	"bit": 1. / 8, "kbit": 1e3 / 8, "mbit": 1e6 / 8, "gbit": 1e9 / 8,
+}
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
+	amountPattern = regexp.MustCompile(`^([0-9]+(?:\.[0-9]+)?) ?([A-Za-z]*)(/s)?$`)
+)
+
+// Text reads a string.
+func (n Node) Text() string {
+	switch v := n.value.(type) {
+	case nil:
+		return ""
+	case *ast.StringNode:
+		return v.Value
+	case *ast.LiteralNode:
+		return v.Value.Value
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
+		n.Problem("must be text; put %s in quotes", v.GetToken().Value)
+	default:
+		n.Problem("must be text, not %s", kind(n.value))
+	}
+	return ""
+}
+
+// Name reads a name: lower-case letters, digits, dots, dashes and underscores,
+// at most 63.
+func (n Node) Name() string {
+	s := n.Text()
+	if s == "" && !n.Exists() {
+		return ""
+	}
+	if s == "" && !isText(n.value) {
+		return ""
+	}
+	if !namePattern.MatchString(s) {
+		n.Problem("%q is not a name (a-z, 0-9, '.', '_' and '-' inside, at most 63)", s)
+		return ""
+	}
+	return s
+}
+
+// Texts reads a list of strings.
+func (n Node) Texts() []string {
+	var out []string
+	for _, item := range n.Items() {
+		out = append(out, item.Text())
+	}
+	return out
+}
+
+// Bool reads true or false.
+func (n Node) Bool(otherwise bool) bool {
+	if !n.Exists() {
+		return otherwise
+	}
+	b, ok := n.value.(*ast.BoolNode)
+	if !ok {
+		n.Problem("must be true or false, not %s", kind(n.value))
+		return otherwise
+	}
+	return b.Value
+}
+
+// Int reads a whole number from low to high.
+func (n Node) Int(otherwise, low, high int) int {
+	if !n.Exists() {
+		return otherwise
+	}
+	i, ok := n.value.(*ast.IntegerNode)
+	if !ok {
+		n.Problem("must be a whole number, not %s", kind(n.value))
+		return otherwise
+	}
+	v, ok := whole(i.Value)
+	if !ok || v < int64(low) || v > int64(high) {
+		n.Problem("%s is not from %d to %d", i.GetToken().Value, low, high)
+		return otherwise
+	}
+	return int(v)
+}
+
+// Float reads a number from low to high.
+func (n Node) Float(otherwise, low, high float64) float64 {
+	if !n.Exists() {
+		return otherwise
+	}
+	var v float64
+	switch f := n.value.(type) {
+	case *ast.FloatNode:
+		v = f.Value
+	case *ast.IntegerNode:
+		i, _ := whole(f.Value)
+		v = float64(i)
+	default:
+		n.Problem("must be a number, not %s", kind(n.value))
+		return otherwise
+	}
+	if !(v >= low && v <= high) {
+		n.Problem("%v is not from %v to %v", v, low, high)
+		return otherwise
+	}
+	return v
+}
+
+// Duration reads a duration such as 250ms, from low to high.
+func (n Node) Duration(otherwise, low, high time.Duration) time.Duration {
+	if !n.Exists() {
+		return otherwise
+	}
+	d, err := time.ParseDuration(n.word())
+	if err != nil {
+		n.Problem("must be a duration such as 250ms, 30s or 2h")
+		return otherwise
+	}
+	if d < low || d > high {
+		n.Problem("%v is not from %v to %v", d, low, high)
+		return otherwise
+	}
+	return d
+}
+
+// Time reads an RFC 3339 time and returns it in UTC.
+func (n Node) Time() time.Time {
+	if !n.Exists() {
+		return time.Time{}
+	}
+	t, err := time.Parse(time.RFC3339, n.word())
+	if err != nil {
+		n.Problem("must be a time such as 2026-12-07T06:00:00+07:00")
+		return time.Time{}
+	}
+	return t.UTC().Round(0)
+}
+
+// AddrPort reads an IP address and port.
+func (n Node) AddrPort() netip.AddrPort {
+	if !n.Exists() {
+		return netip.AddrPort{}
+	}
+	a, err := netip.ParseAddrPort(n.word())
+	if err != nil || a.Port() == 0 || a.Addr().Zone() != "" {
+		n.Problem("must be an IP address and port such as 10.0.0.1:8080")
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// Prefix reads a block of IP addresses.
+func (n Node) Prefix() netip.Prefix {
+	if !n.Exists() {
+		return netip.Prefix{}
+	}
+	p, err := netip.ParsePrefix(n.word())
+	if err != nil {
+		n.Problem("must be a block of addresses such as 10.1.0.0/16")
+		return netip.Prefix{}
+	}
+	if p != p.Masked() {
+		n.Problem("has bits set beyond its length; %v is meant?", p.Masked())
+		return netip.Prefix{}
+	}
+	return p
+}
+
+// Size reads a number of bytes such as 8MB or 64KiB, from low to high.
+func (n Node) Size(otherwise, low, high int64) int64 {
+	return n.amount(otherwise, low, high, false)
+}
+
+// Rate reads bytes per second, such as 280Mbit or 35MB/s, from low to high.
+func (n Node) Rate(otherwise, low, high int64) int64 {
+	return n.amount(otherwise, low, high, true)
+}
+
+func (n Node) amount(otherwise, low, high int64, rate bool) int64 {
+	if !n.Exists() {
+		return otherwise
+	}
+	example := "8MB or 64KiB"
+	if rate {
+		example = "280Mbit or 35MB/s"
+	}
+	m := amountPattern.FindStringSubmatch(n.word())
+	if m == nil || m[3] != "" && !rate {
+		n.Problem("must be an amount such as %s", example)
+		return otherwise
+	}
+	unit, ok := units[strings.ToLower(m[2])]
+	if !ok || strings.HasSuffix(strings.ToLower(m[2]), "bit") && !rate {
+		n.Problem("has the unknown unit %q; an example is %s", m[2], example)
+		return otherwise
+	}
+	v, _ := strconv.ParseFloat(m[1], 64)
+	v = math.Round(v * unit)
+	if !(v >= float64(low) && v <= float64(high)) {
+		n.Problem("%s is not from %d to %d bytes", n.word(), low, high)
+		return otherwise
+	}
+	return int64(v)
+}
+
+// word returns a scalar as it stands in the file, whatever its type.
+func (n Node) word() string {
+	switch v := n.value.(type) {
+	case *ast.StringNode:
+		return v.Value
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
+		return strings.TrimSpace(v.GetToken().Value)
+	}
+	return ""
+}
+
+func isText(n ast.Node) bool {
+	switch n.(type) {
+	case *ast.StringNode, *ast.LiteralNode:
+		return true
+	}
+	return false
+}
+
+func whole(v any) (int64, bool) {
+	switch i := v.(type) {
+	case int64:
+		return i, true
+	case uint64:
+		return int64(min(i, math.MaxInt64)), i <= math.MaxInt64
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/platform/publish/chunk.go
@@ -0,0 +1,89 @@
+package publish
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafrastray"
+	"sassafrastray/internal/platform/config"
+)
+
+// writeChunks writes the chunks that the head before does not refer to.
+//
+// Such a chunk is written even if the store has it already: it may be retired
+// and about to be deleted under its present version, and a new version makes
+// that deletion fail.
+func (p *Publisher) writeChunks(ctx context.Context, before config.Head, chunks map[config.Digest][]byte) error {
+	for _, d := range slices.Sorted(maps.Keys(chunks)) {
+		if slices.Contains(before.Chunks, d) {
+			continue
+		}
+		if err := p.writeChunk(ctx, d, chunks[d]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *Publisher) writeChunk(ctx context.Context, d config.Digest, value []byte) error {
+	version := int64(0)
+	for try := 0; ; try++ {
+		_, err := p.store.Put(ctx, d.Key(), value, version)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, sassafrastray.ErrConflict) {
+			o, err := p.get(ctx, d.Key())
+			if err != nil && !errors.Is(err, sassafrastray.ErrNotFound) {
+				return errors.Wrapf(err, "chunk %s", d)
+			}
+			// The version is 0 for a chunk that is not there.
+			version = o.Version
+		}
+		if p.backoff(ctx, try) != nil {
+			return errors.Wrapf(err, "chunk %s", d)
+		}
+	}
+}
+
+// retire returns the chunks that wait for their deletion once h is in force:
+// all in the store that h does not refer to, with the versions that they have
+// now. A publisher that has read h or a later head and needs one of them
+// writes it anew, under a greater version; one that has not read h can't win.
+func (p *Publisher) retire(ctx context.Context, before, h config.Head) ([]config.Retired, error) {
+	stored, err := p.list(ctx, config.ChunkPrefix)
+	if err != nil {
+		return nil, err
+	}
+	waiting := map[config.Digest]config.Retired{}
+	for _, r := range before.Retired {
+		waiting[r.Chunk] = r
+	}
+	var out []config.Retired
+	for _, o := range stored {
+		d := config.Digest(strings.TrimPrefix(o.Key, config.ChunkPrefix))
+		if slices.Contains(h.Chunks, d) {
+			continue
+		}
+		r, ok := waiting[d]
+		if !ok || r.Version != o.Version {
+			r = config.Retired{Chunk: d, Number: h.Number, Version: o.Version}
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// collect deletes the chunks that no head of the last few refers to. Failures
+// do not matter: they stay listed as retired, and the next publish tries again.
+func (p *Publisher) collect(ctx context.Context, h config.Head) {
+	for _, r := range h.Retired {
+		if h.Number-r.Number >= config.KeepHeads {
+			_ = p.store.Delete(ctx, r.Chunk.Key(), r.Version)
+		}
+	}
+}
