Add the store's client and the stand-in for the platform

Cause: the system needs the platform's object store and list of VMs, and tests need a platform whose faults can be switched on.

Ruled out: one fasthttp client for all calls. It hides which connection a call uses, so a cancelled context could not close it, and it does not tell whether a byte of the request left. Each call now has a connection of its own, which notes writes.

A control listener switches outages, delays, lost answers, rate limits and cuts.

--- /dev/null
+++ b/internal/platform/store/pool.go
@@ -0,0 +1,179 @@
+package store
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// maxIdle bounds the idle connections that a pool keeps.
+const maxIdle = 8
+
+var errCut = errors.New("the call's context ended")
+
+type (
+	// pool hands out connections to one address, each to one call at a time.
+	pool struct {
+		addr  netip.AddrPort
+		mu    sync.Mutex
+		idle  []*lane
+		calls uint64
+	}
+
+	// lane is one connection and the HTTP client that uses it.
+	lane struct {
+		http fasthttp.HostClient
+		// sent tells whether a byte of the present call may have left.
+		sent atomic.Bool
+		// proved is the number of the last call that was answered.
+		proved uint64
+
+		mu   sync.Mutex
+		conn net.Conn
+		cut  bool
+	}
+
+	// laneConn notes writes in its lane.
+	laneConn struct {
+		net.Conn
+		lane *lane
+	}
+)
+
+// do sends the request on a connection of its own and reads the whole answer
+// before the context's deadline and limit. It reports whether a byte of the
+// request may have left. A connection whose call failed is closed.
+func (p *pool) do(
+	ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, limit time.Duration,
+) (sent bool, err error) {
+	if d, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(d))
+	}
+	if err := ctx.Err(); err != nil || limit <= 0 {
+		return false, errors.CombineErrors(err, context.DeadlineExceeded)
+	}
+	l, call := p.take()
+	stop := context.AfterFunc(ctx, l.cutOff)
+	err = l.http.DoTimeout(req, resp, limit)
+	if err == nil && resp.Header.ContentLength() < 0 {
+		err = errors.New("answer of unknown length")
+	}
+	if !stop() && err == nil {
+		err = errCut
+	}
+	if err != nil {
+		l.cutOff()
+		p.suspect(call)
+		return l.sent.Load(), errors.Wrap(err, "call store")
+	}
+	p.give(l, call)
+	return true, nil
+}
+
+// take returns an idle lane or a new one, and the number of the call.
+func (p *pool) take() (*lane, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	if n := len(p.idle); n > 0 {
+		l := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		l.sent.Store(false)
+		return l, p.calls
+	}
+	return newLane(p.addr), p.calls
+}
+
+// give makes a lane idle after call was answered on it.
+func (p *pool) give(l *lane, call uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= maxIdle {
+		l.cutOff()
+		return
+	}
+	l.proved = call
+	p.idle = append(p.idle, l)
+}
+
+// suspect closes the idle lanes that were last answered before call, which
+// failed: what broke its connection may have broken them too.
+func (p *pool) suspect(call uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, l := range p.idle {
+		if l.proved < call {
+			l.cutOff()
+		} else {
+			kept = append(kept, l)
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.idle {
+		l.cutOff()
+	}
+	p.idle = nil
+}
+
+// newLane returns a lane whose connection is opened by its first call.
+func newLane(addr netip.AddrPort) *lane {
+	l := &lane{}
+	l.http = fasthttp.HostClient{
+		Addr:                      addr.String(),
+		DialTimeout:               l.dial,
+		MaxConns:                  1,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:       maxAnswer,
+		NoDefaultUserAgentHeader:  true,
+		DisablePathNormalizing:    true,
+	}
+	return l
+}
+
+func (l *lane) dial(addr string, limit time.Duration) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", addr, limit)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		conn.Close()
+		return nil, errCut
+	}
+	l.conn = conn
+	return &laneConn{conn, l}, nil
+}
+
+// cutOff closes the lane for good, and with it the call that is under way.
+func (l *lane) cutOff() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+	if l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+// Write notes that bytes have left before it returns.
+func (c *laneConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if n > 0 {
+		c.lane.sent.Store(true)
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/platform/store/store_test.go
@@ -0,0 +1,249 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"sassafrastray"
+	"sassafrastray/internal/platform/store"
+	"sassafrastray/internal/standin/gate"
+	"sassafrastray/internal/standin/platform"
+	"sassafrastray/internal/standin/roster"
+)
+
+// script runs one data file. A line is a command, and behind an arrow what it
+// has to yield.
+type script struct {
+	t       *testing.T
+	client  *store.Client
+	control string
+	http    fasthttp.Client
+	timeout time.Duration
+	started map[string]chan string
+}
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// The library's two housekeeping goroutines end by themselves, but only after
+// a sleep of ten seconds.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			newScript(t).run(f)
+		})
+	}
+}
+
+func newScript(t *testing.T) *script {
+	clients, err := gate.New(loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	control, err := gate.New(loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	p := platform.New(sassafrastray.SystemClock{}, log, rand.New(rand.NewPCG(1, 1)), roster.New(nil, 0))
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.ServeOn(ctx, clients, control)
+	}()
+	c := store.New(clients.AddrPort(), "north-1", "vm-1")
+	dial := func(addr string) (net.Conn, error) { return net.Dial("tcp", addr) }
+	s := &script{
+		t: t, client: c, http: fasthttp.Client{Dial: dial},
+		control: "http://" + control.AddrPort().String() + "/control/",
+		timeout: 10 * time.Second, started: map[string]chan string{},
+	}
+	t.Cleanup(func() {
+		c.Close()
+		s.http.CloseIdleConnections()
+		stop()
+		<-done
+	})
+	return s
+}
+
+func (s *script) run(file string) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for i, line := range strings.Split(string(b), "\n") {
+		if line = strings.TrimSpace(line); line == "" || line[0] == '#' {
+			continue
+		}
+		command, want, _ := strings.Cut(line, " -> ")
+		if got := s.do(command); got != want {
+			s.t.Fatalf("%s:%d: %s\n got %s\nwant %s", file, i+1, command, got, want)
+		}
+	}
+}
+
+// do runs a command and returns what it yields as text.
+func (s *script) do(command string) string {
+	word, rest, _ := strings.Cut(command, " ")
+	f := strings.Fields(rest)
+	switch word {
+	case "timeout":
+		s.timeout = s.duration(f[0])
+		return ""
+	case "control":
+		path, body, _ := strings.Cut(rest, " ")
+		return s.put(path, body)
+	case "calls":
+		return s.calls()
+	case "sleep":
+		time.Sleep(s.duration(f[0]))
+		return ""
+	case "start":
+		name, command, _ := strings.Cut(rest, " ")
+		ch := make(chan string, 1)
+		s.started[name] = ch
+		timeout := s.timeout
+		go func() { ch <- s.call(strings.Fields(command), timeout) }()
+		return ""
+	case "join":
+		return <-s.started[f[0]]
+	default:
+		return s.call(strings.Fields(command), s.timeout)
+	}
+}
+
+// call calls the store.
+func (s *script) call(f []string, timeout time.Duration) string {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var (
+		o       sassafrastray.Object
+		objects []sassafrastray.Object
+		vms     []sassafrastray.VM
+		n       int64
+		err     error
+		out     string
+	)
+	switch f[0] {
+	case "get":
+		o, err = s.client.Get(ctx, f[1])
+		out = text(o)
+	case "put":
+		n, err = s.client.Put(ctx, f[1], []byte(f[2]), s.number(f[3]))
+		out = fmt.Sprint(n)
+	case "fill":
+		n, err = s.client.Put(ctx, f[1], make([]byte, s.number(f[2])), 0)
+		out = fmt.Sprint(n)
+	case "delete":
+		err = s.client.Delete(ctx, f[1], s.number(f[2]))
+		out = "ok"
+	case "list":
+		objects, err = s.client.List(ctx, f[1])
+		out = texts(objects)
+	case "watch":
+		objects, n, err = s.client.Watch(ctx, f[1], s.number(f[2]), s.duration(f[3]))
+		out = strings.TrimSpace(fmt.Sprintf("%d %s", n, texts(objects)))
+	case "vms":
+		vms, err = s.client.VMs(ctx)
+		for _, v := range vms {
+			out += fmt.Sprintf("%s@%s ", v.Name, v.Callers)
+		}
+		out = strings.TrimSpace(out)
+	default:
+		s.t.Errorf("no command %q", f[0])
+	}
+	if err != nil {
+		return outcome(err)
+	}
+	return out
+}
+
+func (s *script) put(path, body string) string {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.Header.SetMethod("PUT")
+	req.SetRequestURI(s.control + path)
+	req.SetBodyString(body)
+	if err := s.http.Do(req, resp); err != nil {
+		s.t.Fatal(err)
+	}
+	return strings.TrimSpace(string(resp.Body()))
+}
+
+func (s *script) calls() string {
+	_, body, err := s.http.Get(nil, s.control+"calls")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return string(body)
+}
+
+func (s *script) number(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		s.t.Error(err)
+	}
+	return n
+}
+
+func (s *script) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		s.t.Error(err)
+	}
+	return d
+}
+
+func outcome(err error) string {
+	for e, name := range map[error]string{
+		sassafrastray.ErrConflict: "conflict", sassafrastray.ErrNotFound: "not-found",
+		sassafrastray.ErrUnknown: "unknown", sassafrastray.ErrUnavailable: "unavailable",
+	} {
+		if errors.Is(err, e) {
+			return name
+		}
+	}
+	return "declined"
+}
+
+func text(o sassafrastray.Object) string {
+	if o.Deleted {
+		return fmt.Sprintf("%s-@%d", o.Key, o.Version)
+	}
+	return fmt.Sprintf("%s=%s@%d", o.Key, o.Value, o.Version)
+}
+
+func texts(objects []sassafrastray.Object) string {
+	s := make([]string, len(objects))
+	for i, o := range objects {
+		s[i] = text(o)
+	}
+	return strings.Join(s, " ")
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,255 @@
+// Package platform serves the stand-in for the platform: the object store and
+// the list of VMs, with the faults that its control interface switches on.
+package platform
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+	"sassafrastray/internal/standin/call"
+	"sassafrastray/internal/standin/fault"
+	"sassafrastray/internal/standin/gate"
+	"sassafrastray/internal/standin/object"
+	"sassafrastray/internal/standin/roster"
+)
+
+const (
+	headerVersion   = "Version"
+	headerIfVersion = "If-Version"
+	headerDomain    = "Domain"
+	headerClient    = "Client"
+
+	objectsPath = "/objects/"
+	defaultWait = 30 * time.Second
+)
+
+type (
+	// Platform is the state of the stand-in and its HTTP handlers.
+	Platform struct {
+		clock sassafrastray.Clock
+		log   *slog.Logger
+
+		mu      sync.Mutex
+		objects *object.Table
+		roster  *roster.Roster
+		faults  *fault.Switches
+		calls   *call.Book
+		gate    *gate.Gate
+		// changed is closed and replaced at each change of the state, so
+		// that waiting calls look again.
+		changed chan struct{}
+	}
+
+	// request is what the handlers need of one call.
+	request struct {
+		kind   call.Kind
+		key    string
+		domain sassafrastray.DomainName
+		client string
+	}
+
+	// change is the answer to a watch.
+	change struct {
+		Revision int64                  `json:"revision"`
+		Objects  []sassafrastray.Object `json:"objects"`
+	}
+)
+
+// New returns a platform without objects that shows the VMs of the roster.
+func New(clock sassafrastray.Clock, log *slog.Logger, r *rand.Rand, vms *roster.Roster) *Platform {
+	return &Platform{
+		clock:   clock,
+		log:     log,
+		objects: object.New(),
+		roster:  vms,
+		faults:  fault.New(r),
+		calls:   call.New(),
+		changed: make(chan struct{}),
+	}
+}
+
+// Handle answers the calls of clients.
+func (p *Platform) Handle(ctx *fasthttp.RequestCtx) {
+	r, ok := parse(ctx)
+	if !ok {
+		ctx.Error("no such call", fasthttp.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.calls.Add(r.client, r.kind)
+	verdict := p.faults.Judge(r.kind, r.domain, p.clock.Now())
+	delay := p.faults.Plan().Delay
+	p.mu.Unlock()
+	time.Sleep(delay)
+	switch verdict {
+	case fault.Answer:
+		p.serve(ctx, r)
+	case fault.Lose:
+		p.serve(ctx, r)
+		hangUp(ctx)
+	default:
+		fail(ctx, verdict)
+	}
+}
+
+func (p *Platform) serve(ctx *fasthttp.RequestCtx, r request) {
+	switch r.kind {
+	case call.Get:
+		p.get(ctx, r)
+	case call.Put, call.Delete:
+		p.write(ctx, r)
+	case call.List:
+		p.mu.Lock()
+		found := p.objects.List(string(ctx.QueryArgs().Peek("prefix")))
+		p.mu.Unlock()
+		writeJSON(ctx, found)
+	case call.Watch:
+		p.watch(ctx, r)
+	case call.VMs:
+		p.mu.Lock()
+		vms := p.roster.VMs(p.clock.Now())
+		p.mu.Unlock()
+		writeJSON(ctx, vms)
+	}
+}
+
+func (p *Platform) get(ctx *fasthttp.RequestCtx, r request) {
+	p.mu.Lock()
+	o, err := p.objects.Get(r.key)
+	p.mu.Unlock()
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	ctx.Response.Header.Set(headerVersion, strconv.FormatInt(o.Version, 10))
+	ctx.SetBody(o.Value)
+}
+
+func (p *Platform) write(ctx *fasthttp.RequestCtx, r request) {
+	expected, err := strconv.ParseInt(string(ctx.Request.Header.Peek(headerIfVersion)), 10, 64)
+	if err != nil {
+		ctx.Error(headerIfVersion+" is not a number", fasthttp.StatusBadRequest)
+		return
+	}
+	body := append([]byte{}, ctx.PostBody()...)
+	if len(body) > sassafrastray.MaxObject {
+		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+		return
+	}
+	version, err := p.apply(r, body, expected)
+	switch {
+	case errors.Is(err, sassafrastray.ErrConflict):
+		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+	case errors.Is(err, sassafrastray.ErrNotFound):
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	default:
+		ctx.Response.Header.Set(headerVersion, strconv.FormatInt(version, 10))
+	}
+}
+
+func (p *Platform) apply(r request, value []byte, expected int64) (version int64, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.kind == call.Put {
+		version, err = p.objects.Put(r.key, value, expected)
+	} else {
+		version, err = p.objects.Delete(r.key, expected)
+	}
+	if err == nil {
+		p.wake()
+	}
+	return version, err
+}
+
+// wake makes the waiting calls look again. The lock is held.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// watch waits until something has changed below the prefix. It ends as other
+// calls do when a fault is switched on in the meantime.
+func (p *Platform) watch(ctx *fasthttp.RequestCtx, r request) {
+	q := ctx.QueryArgs()
+	prefix := string(q.Peek("prefix"))
+	after, err := strconv.ParseInt(string(q.Peek("after")), 10, 64)
+	if err != nil {
+		ctx.Error("after is not a number", fasthttp.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(string(q.Peek("wait")))
+	if err != nil {
+		wait = defaultWait
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	p.count(1)
+	defer p.count(-1)
+	for over := false; ; {
+		p.mu.Lock()
+		ch := change{p.objects.Revision(), p.objects.Changes(prefix, after)}
+		reach := p.faults.Reach(r.domain)
+		changed := p.changed
+		p.mu.Unlock()
+		if reach != fault.Answer {
+			fail(ctx, reach)
+			return
+		}
+		if len(ch.Objects) > 0 || over {
+			writeJSON(ctx, ch)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		}
+	}
+}
+
+// count adds n to the number of watches under way.
+func (p *Platform) count(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Waiting += n
+}
+
+// parse reads the kind of the call and its key from the path.
+func parse(ctx *fasthttp.RequestCtx) (request, bool) {
+	r := request{
+		domain: sassafrastray.DomainName(ctx.Request.Header.Peek(headerDomain)),
+		client: string(ctx.Request.Header.Peek(headerClient)),
+	}
+	if r.client == "" {
+		r.client = ctx.RemoteIP().String()
+	}
+	path := string(ctx.URI().PathOriginal())
+	if key, ok := strings.CutPrefix(path, objectsPath); ok {
+		kinds := map[string]call.Kind{"GET": call.Get, "PUT": call.Put, "DELETE": call.Delete}
+		var err error
+		r.kind = kinds[string(ctx.Method())]
+		r.key, err = url.PathUnescape(key)
+		return r, err == nil && r.kind != "" && r.key != ""
+	}
+	r.kind = map[string]call.Kind{"/list": call.List, "/watch": call.Watch, "/vms": call.VMs}[path]
+	return r, r.kind != "" && ctx.IsGet()
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("answer cannot be encoded: " + err.Error())
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
