Add the keeper's decisions on slots, queues and health

Cause: a backend server has three or four slots. VMs that choose by themselves collide there, so one VM has to count the slots.

Ruled out: counting what a load report says. It lags, and a missing figure reads like an idle backend server. Reports only lower a capacity here.

Change: internal/traffic/keeper gives each backend server one keeper by rendezvous hashing, counts slots and the region's share, queues by start-time fair queueing, drops what can't be answered in time, and takes backend servers out and back in. Stateful tests run three keepers against servers that count for themselves.

Conclusion: the interface stands. The choice between keepers and the comparison with other policies are still to come.

--- /dev/null
+++ b/internal/traffic/keeper/keeper_test.go
@@ -0,0 +1,232 @@
+package keeper
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrastray"
+)
+
+// actions are what may happen in the world's mode.
+func (w *world) actions() map[string]func(*rapid.T) {
+	finish := func(kind EndKind) func(*rapid.T) {
+		return func(*rapid.T) {
+			if c := w.one("running"); c != nil {
+				w.end(c, kind)
+			}
+		}
+	}
+	as := map[string]func(*rapid.T){
+		"offer":  func(*rapid.T) { w.offer() },
+		"offer2": func(*rapid.T) { w.offer() },
+		"finish": finish(OK),
+		"report": func(*rapid.T) { w.report() },
+		"advance": func(t *rapid.T) {
+			w.advance(time.Duration(rapid.SampledFrom([]int{1, 10, 60, 250}).Draw(t, "ms")) * time.Millisecond)
+		},
+		"giveUp": func(*rapid.T) {
+			if c := w.one("queued"); c != nil {
+				c.state = "cancelled"
+				w.start(c.vm.keeper.Cancel(c.ID, w.now))
+			}
+		},
+		"late": func(*rapid.T) {
+			// Time passes without a tick, then a slot becomes free.
+			w.now = w.now.Add(200 * time.Millisecond)
+			if c := w.one("running"); c != nil {
+				w.end(c, OK)
+			}
+		},
+	}
+	if w.mode == calm {
+		return as
+	}
+	as["views"] = func(*rapid.T) { w.views() }
+	as["cancel"] = finish(Cancelled)
+	if w.mode == agree {
+		return as
+	}
+	as["fail"] = finish(Failed)
+	as["timeout"] = finish(Timeout)
+	as["die"] = func(t *rapid.T) {
+		s := rapid.SampledFrom(w.servers).Draw(t, "dies")
+		s.dead = !s.dead
+	}
+	as["drain"] = func(t *rapid.T) {
+		s := rapid.SampledFrom(w.servers).Draw(t, "drains")
+		s.draining, s.acceptsDraining = true, w.draw("accepts")
+	}
+	as["restart"] = func(t *rapid.T) {
+		s := rapid.SampledFrom(w.servers).Draw(t, "restarts")
+		s.draining, s.drainedFor = false, map[sassafrastray.VMName]bool{}
+	}
+	as["peerDrain"] = func(t *rapid.T) {
+		v, o := rapid.SampledFrom(w.vms).Draw(t, "from"), rapid.SampledFrom(w.vms).Draw(t, "to")
+		for _, name := range v.keeper.Drains(w.now) {
+			o.keeper.Drain(name, w.now)
+			s := w.server(name)
+			s.drainedFor[o.VM] = s.draining && o.knows(name)
+		}
+	}
+	as["config"] = func(*rapid.T) { w.reconfigure() }
+	return as
+}
+
+// reconfigure gives one VM a configuration with other slots, with a backend
+// server marked as leaving, or without it.
+func (w *world) reconfigure() {
+	v := rapid.SampledFrom(w.vms).Draw(w.t, "configured")
+	cfg := *w.config
+	cfg.Fleet.Regions = slices.Clone(cfg.Fleet.Regions)
+	cfg.Fleet.Regions[0].Slots = rapid.SampledFrom([]int{0, 5, 9}).Draw(w.t, "region")
+	cfg.Services = slices.Clone(cfg.Services)
+	s := &cfg.Services[rapid.IntRange(0, 1).Draw(w.t, "service")]
+	s.Backends = slices.Clone(s.Backends)
+	i := rapid.IntRange(0, len(s.Backends)-1).Draw(w.t, "backend")
+	switch rapid.IntRange(0, 2).Draw(w.t, "change") {
+	case 0:
+		s.Backends[i].Leaving = true
+	case 1:
+		w.server(s.Backends[i].Name).drainedFor[v.VM] = false
+		s.Backends = slices.Delete(s.Backends, i, i+1)
+	}
+	v.config = &cfg
+	v.keeper.Configure(&cfg, w.now)
+}
+
+// checkIdle fails if a request waits that could use a free slot.
+func (w *world) checkIdle() {
+	if w.config.Fleet.Regions[0].Slots > 0 {
+		return
+	}
+	for _, c := range w.calls {
+		if c.state != "queued" {
+			continue
+		}
+		for _, b := range w.config.Service(c.Service).Backends {
+			owner, _ := Of(b.Name, b.Domain, "north", c.vm.view)
+			idle := w.inFlight(c.vm, w.server(b.Name)) < b.Slots
+			if owner == c.vm.VM && idle && !slices.Contains(c.Exclude, b.Name) {
+				w.t.Fatalf("request %d waits while %s has a free slot", c.ID, b.Name)
+			}
+		}
+	}
+}
+
+// settle lets everything end and checks that nothing is left.
+func (w *world) settle() {
+	for _, s := range w.servers {
+		s.dead = false
+	}
+	for range 100 {
+		for _, c := range slices.Clone(w.calls) {
+			if c.state == "running" {
+				w.end(c, OK)
+			}
+		}
+		w.advance(50 * time.Millisecond)
+	}
+	w.require(len(w.calls) == 0, "%d requests never ended", len(w.calls))
+	w.require(w.ended == len(w.byID), "%d of %d requests ended", w.ended, len(w.byID))
+	for _, v := range w.vms {
+		w.require(len(v.keeper.flights)+len(v.keeper.queued) == 0, "%s keeps a trace of a request", v.VM)
+	}
+}
+
+func TestKeeper(t *testing.T) {
+	for _, mode := range []string{calm, agree, wild} {
+		t.Run(mode, func(t *testing.T) {
+			sheds := 0
+			rapid.Check(t, func(t *rapid.T) {
+				w := newWorld(t, mode)
+				as := w.actions()
+				if mode == calm {
+					as[""] = func(*rapid.T) {
+						w.advance(time.Millisecond)
+						w.checkIdle()
+					}
+				}
+				t.Repeat(as)
+				w.settle()
+				sheds += w.sheds
+			})
+			if mode == wild && sheds == 0 {
+				t.Error("no backend server ever shed, so two keepers were never tried")
+			}
+		})
+	}
+}
+
+// Between teams that always wait, the starts divided by the weight differ by
+// no more than start-time fair queueing allows, in every interval.
+func TestFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1e9, 0)
+		k := single(rapid.IntRange(1, 4).Draw(t, "slots"), now)
+		now = now.Add(5 * time.Second)
+		k.Tick(now)
+		teams := []sassafrastray.TeamName{"a", "b", "c"}
+		weights := rapid.SliceOfN(rapid.IntRange(1, 8), 3, 3).Draw(t, "weights")
+		id, owner, flying := uint64(0), map[uint64]int{}, []uint64{}
+		offer := func(i int) {
+			id++
+			o := k.Offer(Request{
+				ID: id, Service: "stock", Version: "v1", Team: teams[i], Weight: weights[i],
+				Deadline: now.Add(time.Hour),
+			}, now)
+			owner[id] = i
+			if o.Kind == Dispatch {
+				flying = append(flying, id)
+			}
+		}
+		for i := range teams {
+			for range rapid.IntRange(8, 24).Draw(t, "backlog") {
+				offer(i)
+			}
+		}
+		from, skip := make([]int, 3), rapid.IntRange(0, 30).Draw(t, "skip")
+		count := make([]int, 3)
+		for n := range skip + rapid.IntRange(1, 150).Draw(t, "starts") {
+			if n == skip {
+				copy(from, count)
+			}
+			now = now.Add(time.Millisecond)
+			at := rapid.IntRange(0, len(flying)-1).Draw(t, "done")
+			starts := slices.Clone(k.Done(flying[at], End{Kind: OK}, now))
+			flying = slices.Delete(flying, at, at+1)
+			for _, s := range starts {
+				flying = append(flying, s.ID)
+				count[owner[s.ID]]++
+				offer(owner[s.ID])
+			}
+		}
+		for i := range teams {
+			for j := range i {
+				a := float64(count[i]-from[i]) / float64(weights[i])
+				b := float64(count[j]-from[j]) / float64(weights[j])
+				bound := 1/float64(weights[i]) + 1/float64(weights[j]) + 1e-9
+				if a-b > bound || b-a > bound {
+					t.Fatalf("weights %v got %v starts after %v", weights, count, from)
+				}
+			}
+		}
+	})
+}
+
+// single returns a keeper of one backend server, past its handover.
+func single(slots int, now time.Time) *Keeper {
+	cfg := &sassafrastray.Config{
+		Fleet: sassafrastray.Fleet{Domains: []sassafrastray.FailureDomain{{Name: "n1", Region: "north"}}},
+		Services: []sassafrastray.Service{{Name: "stock", Backends: []sassafrastray.BackendServer{
+			{Name: "b0", Domain: "n1", Slots: slots, Version: "v1"},
+		}}},
+	}
+	k := New("vm0", rand.New(rand.NewPCG(1, 2)), Defaults())
+	k.Configure(cfg, now)
+	k.View([]Member{{VM: "vm0", Domain: "n1", Region: "north"}}, now)
+	return k
+}
--- /dev/null
+++ b/internal/traffic/keeper/pool.go
@@ -0,0 +1,174 @@
+package keeper
+
+import (
+	"time"
+
+	"sassafrastray"
+)
+
+const (
+	// smoothing is the weight of one sample in a moving mean.
+	smoothing = 1.0 / 16
+	// estimateAge is how long an estimate lasts without a sample.
+	estimateAge = 2 * time.Second
+)
+
+type (
+	// poolKey names one version of a service.
+	poolKey struct {
+		service sassafrastray.ServiceName
+		version sassafrastray.VersionName
+	}
+
+	// mean is a moving mean of service times in nanoseconds, 0 if there was
+	// no sample.
+	mean float64
+
+	// estimate is the service time of a route and when it was last adapted.
+	estimate struct {
+		mean mean
+		at   time.Time
+	}
+
+	// pool holds the backend servers of one version of a service and the
+	// requests that wait for them.
+	pool struct {
+		key      poolKey
+		backends []*backend
+		teams    map[sassafrastray.TeamName]*team
+		order    []*team
+		queued   int
+		virtual  float64 // start tag of the last request that started
+		service  mean
+		routes   map[sassafrastray.RouteName]estimate
+	}
+)
+
+func newPool(key poolKey) *pool {
+	return &pool{
+		key:    key,
+		teams:  make(map[sassafrastray.TeamName]*team),
+		routes: make(map[sassafrastray.RouteName]estimate),
+	}
+}
+
+// add takes a sample.
+func (m mean) add(d time.Duration) mean {
+	if m == 0 {
+		return mean(d)
+	}
+	return m + (mean(d)-m)*smoothing
+}
+
+// measure takes the service time of a request. One that timed out would have
+// lasted longer, so it can't lower the means.
+func (p *pool) measure(route sassafrastray.RouteName, e End, started, now time.Time) {
+	took := now.Sub(started)
+	if e.Latency > 0 {
+		took = e.Latency
+	}
+	r := p.routes[route].mean
+	if e.Kind == OK || e.Kind == Timeout && mean(took) > r {
+		p.routes[route] = estimate{mean: r.add(took), at: now}
+		p.service = p.service.add(took)
+	}
+}
+
+// forget halves the estimates that have had no sample for a time. Otherwise a
+// route whose estimate is above its deadlines would be refused for ever.
+func (p *pool) forget(now time.Time) {
+	for route, e := range p.routes {
+		if now.Sub(e.at) < estimateAge {
+			continue
+		}
+		if e.mean /= 2; e.mean < mean(time.Millisecond) {
+			delete(p.routes, route)
+			continue
+		}
+		p.routes[route] = estimate{mean: e.mean, at: now}
+	}
+}
+
+// expected returns the measured service time of a route, 0 if unknown.
+func (p *pool) expected(route sassafrastray.RouteName) time.Duration {
+	return time.Duration(p.routes[route].mean)
+}
+
+// panicking reports whether most backend servers look bad, so that the cause
+// is probably not with them.
+func (p *pool) panicking() bool {
+	open, down := 0, 0
+	for _, b := range p.backends {
+		if b.open() {
+			open++
+			if b.down {
+				down++
+			}
+		}
+	}
+	return 2*down > open
+}
+
+// capacity is how many requests the pool can work on at once.
+func (p *pool) capacity() int {
+	n, down := 0, 0
+	for _, b := range p.backends {
+		switch {
+		case !b.open():
+		case b.down:
+			down++
+		default:
+			n += b.capacity()
+		}
+	}
+	if n == 0 {
+		return down
+	}
+	return n
+}
+
+// pick returns the backend server with the most free capacity that is not
+// excluded, or nil. Those that are alike take turns at random.
+func (k *Keeper) pick(p *pool, exclude []sassafrastray.BackendName, now time.Time) *backend {
+	if k.share.free(1) <= 0 {
+		return nil
+	}
+	var (
+		best      *backend
+		most, eq  int
+		panicking = p.panicking()
+	)
+	for _, b := range p.backends {
+		n := b.free(panicking, now)
+		if n <= 0 || n < most || excluded(b.name, exclude) {
+			continue
+		}
+		if n > most {
+			best, most, eq = b, n, 1
+			continue
+		}
+		if eq++; k.rng.IntN(eq) == 0 {
+			best = b
+		}
+	}
+	return best
+}
+
+func excluded(name sassafrastray.BackendName, exclude []sassafrastray.BackendName) bool {
+	for _, e := range exclude {
+		if e == name {
+			return true
+		}
+	}
+	return false
+}
+
+// capacity is how many requests of the pool can run at once, with the share of
+// the region's slots in mind.
+func (k *Keeper) capacity(p *pool) int {
+	n := p.capacity()
+	if k.share.bounded {
+		n = min(n, k.share.slots)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/traffic/keeper/world_test.go
@@ -0,0 +1,319 @@
+package keeper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrastray"
+)
+
+// Modes of a world.
+const (
+	calm  = "calm"  // nothing fails: a slot must not idle while a request could use it
+	agree = "agree" // views change, but at once for all: the sums over all VMs hold
+	wild  = "wild"  // views differ, and everything fails
+)
+
+type (
+	// server is a fake backend server that counts for itself.
+	server struct {
+		name            sassafrastray.BackendName
+		slots, running  int
+		dead, draining  bool
+		frees           []time.Time // when cancelled requests free their slots
+		drainedFor      map[sassafrastray.VMName]bool
+		stale           Report // an earlier report that comes late
+		acceptsDraining bool
+	}
+
+	// call is a request as its caller sees it.
+	call struct {
+		Request
+		vm      *vm
+		state   string // queued, running, or how it ended
+		server  *server
+		started time.Time
+		ran     int
+	}
+
+	vm struct {
+		Member
+		keeper *Keeper
+		view   []Member
+		config *sassafrastray.Config
+	}
+
+	// world is the oracle: it holds what is true and checks each decision.
+	world struct {
+		t       *rapid.T
+		mode    string
+		now     time.Time
+		config  *sassafrastray.Config
+		vms     []*vm
+		servers []*server
+		calls   []*call
+		byID    map[uint64]*call
+		sheds   int
+		ended   int
+	}
+)
+
+func newWorld(t *rapid.T, mode string) *world {
+	w := &world{t: t, mode: mode, now: time.Unix(1e9, 0), byID: map[uint64]*call{}}
+	cfg := &sassafrastray.Config{Fleet: sassafrastray.Fleet{
+		Regions: []sassafrastray.Region{{Name: "north", Slots: rapid.SampledFrom([]int{0, 5, 9}).Draw(t, "region")}},
+		Domains: []sassafrastray.FailureDomain{{Name: "n1", Region: "north"}, {Name: "n2", Region: "north"}},
+	}}
+	for i, s := range []sassafrastray.ServiceName{"stock", "photo"} {
+		svc := sassafrastray.Service{Name: s}
+		for j := range 3 {
+			b := sassafrastray.BackendServer{
+				Name: sassafrastray.BackendName(fmt.Sprint(s, j)), Version: "v1",
+				Domain: cfg.Fleet.Domains[j%2].Name, Slots: 1 + (i+j)%4,
+			}
+			svc.Backends = append(svc.Backends, b)
+			w.servers = append(w.servers, &server{
+				name: b.Name, slots: b.Slots, drainedFor: map[sassafrastray.VMName]bool{},
+			})
+		}
+		cfg.Services = append(cfg.Services, svc)
+	}
+	w.config = cfg
+	var all []Member
+	for i := range 3 {
+		all = append(all, Member{VM: sassafrastray.VMName(fmt.Sprint("vm", i)), Domain: cfg.Fleet.Domains[i%2].Name, Region: "north"})
+	}
+	for i, m := range all {
+		opt := Defaults()
+		opt.TeamQueue, opt.TotalQueue = 4, 8
+		v := &vm{Member: m, keeper: New(m.VM, rand.New(rand.NewPCG(1, uint64(i))), opt), view: all, config: cfg}
+		v.keeper.Configure(cfg, w.now)
+		v.keeper.View(all, w.now)
+		w.vms = append(w.vms, v)
+	}
+	for range 80 {
+		w.advance(50 * time.Millisecond)
+	}
+	return w
+}
+
+// knows reports whether the VM's configuration has the server. A VM forgets
+// what it heard of a server when it is taken out of the configuration.
+func (v *vm) knows(name sassafrastray.BackendName) bool {
+	return slices.ContainsFunc(v.config.Services, func(s sassafrastray.Service) bool {
+		return slices.ContainsFunc(s.Backends, func(b sassafrastray.BackendServer) bool { return b.Name == name })
+	})
+}
+
+func (w *world) server(name sassafrastray.BackendName) *server {
+	return w.servers[slices.IndexFunc(w.servers, func(s *server) bool { return s.name == name })]
+}
+
+// inFlight counts the running calls of a VM, or of all, at a server, or at all.
+func (w *world) inFlight(v *vm, s *server) int {
+	n := 0
+	for _, c := range w.calls {
+		if c.state == "running" && (v == nil || c.vm == v) && (s == nil || c.server == s) {
+			n++
+		}
+	}
+	return n
+}
+
+// advance moves the clock and ticks every keeper.
+func (w *world) advance(d time.Duration) {
+	w.now = w.now.Add(d)
+	for _, s := range w.servers {
+		s.frees = slices.DeleteFunc(s.frees, func(t time.Time) bool {
+			if w.now.Before(t) {
+				return false
+			}
+			s.running--
+			return true
+		})
+	}
+	if w.mode != wild {
+		for _, c := range slices.Clone(w.calls) {
+			if c.state == "running" && w.now.Sub(c.started) >= 300*time.Millisecond {
+				w.end(c, OK)
+			}
+		}
+	}
+	for _, v := range w.vms {
+		starts, drops := v.keeper.Tick(w.now)
+		for _, d := range slices.Clone(drops) {
+			c := w.byID[d.ID]
+			w.require(c.state == "queued", "request %d dropped while %s", d.ID, c.state)
+			w.require(d.Reason != sassafrastray.ReasonDeadline || !w.now.Before(c.Deadline), "dropped before its deadline")
+			c.state = "dropped"
+		}
+		w.start(starts)
+	}
+	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool {
+		if c.state == "queued" || c.state == "running" {
+			return false
+		}
+		w.ended++
+		return true
+	})
+}
+
+func (w *world) require(ok bool, format string, args ...any) {
+	if !ok {
+		w.t.Fatalf(format, args...)
+	}
+}
+
+func (w *world) start(starts []Start) {
+	for _, s := range slices.Clone(starts) {
+		c := w.byID[s.ID]
+		w.require(c.state == "queued", "request %d started while %s", s.ID, c.state)
+		w.run(c, s.Backend)
+	}
+}
+
+// run delivers a dispatched request to its server and checks the decision.
+func (w *world) run(c *call, name sassafrastray.BackendName) {
+	s := w.server(name)
+	w.require(w.now.Before(c.Deadline), "request %d started after its deadline", c.ID)
+	w.require(!slices.Contains(c.Exclude, name), "request %d started at an excluded server", c.ID)
+	w.require(!s.drainedFor[c.vm.VM], "%s sends to %s though it knows that it drains", c.vm.VM, name)
+	listed := slices.ContainsFunc(c.vm.config.Service(c.Service).Backends, func(b sassafrastray.BackendServer) bool {
+		return b.Name == name && !b.Leaving
+	})
+	w.require(listed, "%s sends to %s, which is leaving or not configured", c.vm.VM, name)
+	c.state, c.server, c.started = "running", s, w.now
+	c.ran++
+	w.require(c.ran == 1, "request %d ran twice", c.ID)
+	w.require(w.inFlight(c.vm, s) <= s.slots, "%s has %d in flight at %s", c.vm.VM, w.inFlight(c.vm, s), name)
+	if bound := c.vm.config.Fleet.Regions[0].Slots; bound > 0 {
+		w.require(w.inFlight(c.vm, nil) <= bound, "%s is above the region's slots", c.vm.VM)
+		w.require(w.mode == wild || w.inFlight(nil, nil) <= bound, "all VMs are above the region's slots")
+	}
+	if w.mode != wild {
+		w.require(w.inFlight(nil, s) <= s.slots, "all VMs have %d in flight at %s", w.inFlight(nil, s), name)
+	}
+	switch {
+	case s.dead:
+		w.end(c, NotSent)
+	case s.draining && !s.acceptsDraining, s.running >= s.slots:
+		w.sheds++
+		w.require(w.mode == wild, "%s shed", name)
+		w.end(c, Shed)
+	default:
+		s.running++
+	}
+}
+
+// end reports the end of a running call to its keeper.
+func (w *world) end(c *call, kind EndKind) {
+	s := c.server
+	switch kind {
+	case OK, Failed:
+		s.running--
+	case Cancelled, Timeout:
+		s.frees = append(s.frees, w.now.Add(50*time.Millisecond))
+	case Shed, NotSent:
+	}
+	c.state = "ended"
+	drain := s.draining && (kind == OK || kind == Shed)
+	s.drainedFor[c.vm.VM] = s.drainedFor[c.vm.VM] || drain && c.vm.knows(s.name)
+	w.start(c.vm.keeper.Done(c.ID, End{Kind: kind, Drain: drain}, w.now))
+}
+
+func (w *world) offer() {
+	v := rapid.SampledFrom(w.vms).Draw(w.t, "vm")
+	c := &call{vm: v, Request: Request{
+		ID: uint64(len(w.byID) + 1), Version: "v1",
+		Service:  rapid.SampledFrom([]sassafrastray.ServiceName{"stock", "photo"}).Draw(w.t, "service"),
+		Team:     rapid.SampledFrom([]sassafrastray.TeamName{"", "nan", "isan"}).Draw(w.t, "team"),
+		Weight:   rapid.IntRange(0, 3).Draw(w.t, "weight"),
+		Deadline: w.now.Add(time.Duration(rapid.IntRange(-1, 2000).Draw(w.t, "timeout")) * time.Millisecond),
+	}}
+	if rapid.IntRange(0, 3).Draw(w.t, "excludes") == 0 {
+		c.Exclude = []sassafrastray.BackendName{rapid.SampledFrom(w.servers).Draw(w.t, "excluded").name}
+	}
+	w.byID[c.ID] = c
+	w.calls = append(w.calls, c)
+	o := v.keeper.Offer(c.Request, w.now)
+	switch o.Kind {
+	case Dispatch:
+		w.run(c, o.Backend)
+	case Queued:
+		c.state = "queued"
+	case Refused:
+		c.state = "refused"
+	}
+}
+
+// one returns a random call in the state, or nil.
+func (w *world) one(state string) *call {
+	var cs []*call
+	for _, c := range w.calls {
+		if c.state == state {
+			cs = append(cs, c)
+		}
+	}
+	if len(cs) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(cs).Draw(w.t, state)
+}
+
+// report lets each VM hear of one server. Only in the wild do figures lie;
+// figures may be missing, and reports come late, everywhere.
+func (w *world) report() {
+	s := rapid.SampledFrom(w.servers).Draw(w.t, "reporter")
+	r := Report{At: w.now, State: Ready, InFlight: Known(s.running), Slots: Known(s.slots)}
+	if s.draining {
+		r.State = Draining
+	}
+	switch rapid.IntRange(0, 3).Draw(w.t, "fault") {
+	case 0:
+		r.InFlight, r.Slots = Figure{}, Figure{}
+	case 1:
+		s.stale, r = r, s.stale
+	case 2:
+		if w.mode == wild {
+			r.InFlight = Known(rapid.IntRange(0, 9).Draw(w.t, "lie"))
+			r.Slots = Known(rapid.IntRange(0, 9).Draw(w.t, "lie"))
+		}
+	}
+	for _, v := range w.vms {
+		s.drainedFor[v.VM] = s.drainedFor[v.VM] || r.State == Draining && s.draining && v.knows(s.name)
+		v.keeper.Health(s.name, r, w.now)
+	}
+}
+
+func (w *world) draw(label string) bool { return rapid.Bool().Draw(w.t, label) }
+
+// views gives some VMs another view, in agreement or not.
+func (w *world) views() {
+	var all, live []Member
+	for _, v := range w.vms {
+		all = append(all, v.Member)
+		if w.draw("live") {
+			live = append(live, v.Member)
+		}
+	}
+	if w.draw("whole") {
+		live = all
+	}
+	one := rapid.SampledFrom(w.vms).Draw(w.t, "viewer")
+	for _, v := range w.vms {
+		if w.mode == agree || v == one {
+			v.keeper.View(live, w.now)
+		}
+	}
+	for _, v := range w.vms {
+		for _, o := range w.vms {
+			if hs := v.keeper.Holdings(w.now); o != v && w.draw("heard") {
+				o.keeper.Heard(hs, w.now)
+			}
+		}
+	}
+}
