Add the stand-in for backend servers

Cause: the path of a request needs backend servers with slots, cold starts, faults and a record of what they executed.

Ruled out: net/http, whose request context ends when the caller hangs up; the house style asks for fasthttp. The connection is watched by a peek that takes no bytes from it instead. Also ruled out: cutting a body by a reader that fails; the library then drops what it has buffered, so that a short answer was cut before its header (seen with curl). The half answer is now written to the connection itself.

Change: internal/standin/{server,ledger,pattern,backend,gate} and the subcommand backend.

--- /dev/null
+++ b/cmd/standin/backend.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafrastray"
+	"sassafrastray/internal/standin/backend"
+	"sassafrastray/internal/standin/server"
+)
+
+type backendCmd struct {
+	Control netip.AddrPort `help:"Address for control calls." default:"127.0.0.1:7101"`
+	Servers string         `help:"YAML file with many servers; it replaces the flags for one." type:"existingfile"`
+	Seed    uint64         `help:"Seed of the times of work and the random faults." default:"1"`
+
+	Name    string         `help:"The server's name." default:"server"`
+	Service string         `help:"The service that it serves." default:"service"`
+	Version string         `help:"The version of its code." default:"v1"`
+	Listen  netip.AddrPort `help:"Address for requests." default:"127.0.0.1:7102"`
+	Slots   int            `help:"Requests that it works on at once." default:"3"`
+	Time    time.Duration  `help:"Median time of work on a request." default:"10ms"`
+	Spread  float64        `help:"Standard deviation of the logarithm of that time." default:"0.3"`
+	Count   int            `help:"Number of such servers, with ports that count up."`
+}
+
+func (c *backendCmd) Run(log *slog.Logger) error {
+	servers, err := c.servers()
+	if err != nil {
+		return err
+	}
+	f, err := backend.New(sassafrastray.SystemClock{}, log, rand.New(rand.NewPCG(c.Seed, 0)), servers)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return f.Serve(ctx, c.Control)
+}
+
+func (c *backendCmd) servers() ([]server.Settings, error) {
+	if c.Servers != "" {
+		b, err := os.ReadFile(c.Servers)
+		if err != nil {
+			return nil, errors.Wrap(err, "read servers")
+		}
+		return server.Parse(b)
+	}
+	return server.Group(server.Settings{
+		Name:    sassafrastray.BackendName(c.Name),
+		Service: sassafrastray.ServiceName(c.Service),
+		Version: sassafrastray.VersionName(c.Version),
+		Listen:  c.Listen, Slots: c.Slots, Time: c.Time, Spread: c.Spread,
+	}, c.Count), nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,7 +14,8 @@
 type (
 	// cli is the command line; each subcommand is in a file of its own.
 	cli struct {
-		Store storeCmd `cmd:"" help:"Serve an object store and a list of VMs."`
+		Store   storeCmd   `cmd:"" help:"Serve an object store and a list of VMs."`
+		Backend backendCmd `cmd:"" help:"Serve backend servers."`
 	}
 
 	// streams are the standard streams, so that tests can replace them.
--- /dev/null
+++ b/internal/standin/backend/backend_test.go
@@ -0,0 +1,265 @@
+package backend_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sassafrastray"
+	"sassafrastray/internal/standin/backend"
+	"sassafrastray/internal/standin/gate"
+	"sassafrastray/internal/standin/pattern"
+	"sassafrastray/internal/standin/server"
+)
+
+// script runs one data file. Its head, up to a line of dashes, is a file of
+// servers. Each line below is a command, and behind an arrow what it yields.
+type script struct {
+	t       *testing.T
+	servers map[string]string
+	control string
+	// conns are clients that keep one connection each.
+	conns   map[string]*http.Client
+	started map[string]chan string
+}
+
+// wait bounds each request that a script does not bound itself.
+const wait = 10 * time.Second
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			b, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			head, lines, _ := strings.Cut(string(b), "\n---\n")
+			s := newScript(t, head)
+			for i, line := range strings.Split(lines, "\n") {
+				s.line(fmt.Sprintf("%s:%d", f, i+2+strings.Count(head, "\n")+1), line)
+			}
+		})
+	}
+}
+
+func newScript(t *testing.T, head string) *script {
+	settings, err := server.Parse([]byte(head))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f, err := backend.New(sassafrastray.SystemClock{}, log, rand.New(rand.NewPCG(1, 1)), settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	control, err := gate.New(loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.ServeOn(ctx, control)
+	}()
+	s := &script{
+		t: t, servers: map[string]string{}, control: "http://" + control.AddrPort().String() + "/control/",
+		conns: map[string]*http.Client{}, started: map[string]chan string{},
+	}
+	for _, st := range f.Servers("*") {
+		s.servers[string(st.Name)] = "http://" + st.Listen.String()
+	}
+	t.Cleanup(func() {
+		for _, c := range s.conns {
+			c.CloseIdleConnections()
+		}
+		stop()
+		<-done
+	})
+	return s
+}
+
+func (s *script) line(at, line string) {
+	if line = strings.TrimSpace(line); line == "" || line[0] == '#' {
+		return
+	}
+	command, want, _ := strings.Cut(line, " -> ")
+	if got := s.do(command); got != want {
+		s.t.Fatalf("%s: %s\n got %s\nwant %s", at, command, got, want)
+	}
+}
+
+func (s *script) do(command string) string {
+	word, rest, _ := strings.Cut(command, " ")
+	switch word {
+	case "fault":
+		name, plan, _ := strings.Cut(rest, " ")
+		answer, _, _ := strings.Cut(s.call("PUT", "faults/"+name, plan), "\n")
+		return answer
+	case "control":
+		return s.call("GET", rest, "")
+	case "forget":
+		return s.call("DELETE", "executed", "")
+	case "executed":
+		return s.executed()
+	case "sleep":
+		d, err := time.ParseDuration(rest)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		time.Sleep(d)
+		return ""
+	case "start":
+		name, command, _ := strings.Cut(rest, " ")
+		ch, c := make(chan string, 1), s.conn(name)
+		s.started[name] = ch
+		go func() { ch <- s.request(c, strings.Fields(command)) }()
+		return ""
+	case "join":
+		return <-s.started[rest]
+	default:
+		return s.request(s.conn(word), strings.Fields(rest))
+	}
+}
+
+// conn returns the client of that name, which keeps its connection.
+func (s *script) conn(name string) *http.Client {
+	c := s.conns[name]
+	if c == nil {
+		c = &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		s.conns[name] = c
+	}
+	return c
+}
+
+// request sends METHOD SERVER PATH [Header=value ...] [body=text] [within=time]
+// and returns the status, the headers of interest and what the body says.
+func (s *script) request(c *http.Client, f []string) string {
+	text, within := "", wait
+	h := http.Header{}
+	for _, arg := range f[3:] {
+		name, value, _ := strings.Cut(arg, "=")
+		switch name {
+		case "body":
+			text = value
+		case "within":
+			within, _ = time.ParseDuration(value)
+		default:
+			h.Set(name, value)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, f[0], s.servers[f[1]]+f[2], strings.NewReader(text))
+	if err != nil {
+		return err.Error()
+	}
+	req.Header = h
+	resp, err := c.Do(req)
+	if err != nil {
+		return failure(err)
+	}
+	defer resp.Body.Close()
+	out := fmt.Sprint(resp.StatusCode)
+	for _, name := range []string{"Request-Id", "Shed", "Drain", "Load"} {
+		if v := resp.Header.Get(name); v != "" {
+			out += " " + name + "=" + v
+		}
+	}
+	return out + describe(resp)
+}
+
+// describe reads the body of an answer.
+func describe(resp *http.Response) string {
+	if resp.Header.Get("Content-Type") != "application/json" {
+		var c pattern.Checker
+		_, err := io.Copy(&c, resp.Body)
+		if err != nil {
+			return fmt.Sprintf(" %d bytes, then %s", c.Size(), failure(err))
+		}
+		return fmt.Sprintf(" %d bytes", c.Size())
+	}
+	var a struct {
+		Order string
+		State string
+		Bytes int
+		Echo  []byte
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+		return " " + failure(err)
+	}
+	if a.State != "" {
+		return " " + a.State
+	}
+	return fmt.Sprintf(" order=%s bytes=%d%s", a.Order, a.Bytes, string(a.Echo))
+}
+
+func (s *script) call(method, path, text string) string {
+	req, err := http.NewRequest(method, s.control+path, strings.NewReader(text))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := s.conn("control").Do(req)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return strings.TrimSpace(string(b))
+}
+
+// executed returns who was executed how, in order of the starts.
+func (s *script) executed() string {
+	var all []string
+	for line := range strings.Lines(s.call("GET", "executed", "")) {
+		var e struct {
+			Order, End string
+			Keys       bool
+		}
+		if err := json.Unmarshal([]byte(line), &e); err != nil {
+			s.t.Fatal(err)
+		}
+		if e.Keys {
+			e.End += "+key"
+		}
+		all = append(all, e.Order+":"+e.End)
+	}
+	return strings.Join(all, " ")
+}
+
+// failure names the ways in which a request fails.
+func failure(err error) string {
+	text := err.Error()
+	var op *net.OpError
+	switch {
+	case strings.Contains(text, "deadline exceeded"):
+		return "silence"
+	case strings.Contains(text, "refused"):
+		return "refused"
+	case strings.Contains(text, "EOF"), strings.Contains(text, "reset"), strings.Contains(text, "idle"):
+		return "closed"
+	default:
+		return fmt.Sprintf("%v %T", err, op)
+	}
+}
--- /dev/null
+++ b/internal/standin/backend/control.go
@@ -0,0 +1,142 @@
+package backend
+
+import (
+	"bufio"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+	"sassafrastray/internal/standin/server"
+)
+
+const faultsPath = "/control/faults/"
+
+// status is a server as the control interface shows it.
+type status struct {
+	server.Settings
+	Health server.Health `json:"health"`
+	Peak   int           `json:"peak"`
+	Plan   server.Plan   `json:"plan"`
+}
+
+// Control answers calls that switch faults and read what was executed. Bodies
+// are JSON or YAML, with durations such as 200ms.
+//
+//	GET /control/servers         settings, health and faults of all servers
+//	PUT /control/faults/PATTERN  the server.Plan of the servers that match
+//	GET /control/executed        the executions, one JSON object a line
+//	DELETE /control/executed     forgets them
+//	GET /control/summary         the ledger.Summary
+//	GET /control/burst?rate=R    the burst that the starts needed at a rate;
+//	                             service and team narrow it down
+func (f *Fleet) Control(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	pattern, faults := strings.CutPrefix(path, faultsPath)
+	switch {
+	case ctx.IsPut() && faults:
+		if err := f.Fault(pattern, ctx.PostBody()); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		}
+	case ctx.IsGet() && path == "/control/servers":
+		writeJSON(ctx, f.statuses())
+	case ctx.IsGet() && path == "/control/executed":
+		f.executed(ctx)
+	case ctx.IsDelete() && path == "/control/executed":
+		f.mu.Lock()
+		f.ledger.Reset()
+		f.mu.Unlock()
+	case ctx.IsGet() && path == "/control/summary":
+		f.mu.Lock()
+		s := f.ledger.Summary()
+		f.mu.Unlock()
+		writeJSON(ctx, s)
+	case ctx.IsGet() && path == "/control/burst":
+		f.burst(ctx)
+	default:
+		ctx.Error("no such control", fasthttp.StatusNotFound)
+	}
+}
+
+// Fault replaces the faults of the servers whose names match the pattern by
+// the plan in the text, which is JSON or YAML.
+func (f *Fleet) Fault(pattern string, text []byte) error {
+	var p server.Plan
+	if err := yaml.UnmarshalWithOptions(text, &p, yaml.Strict()); err != nil {
+		return errors.Wrap(err, "plan")
+	}
+	f.log.Info("control", "servers", pattern, "plan", string(text))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	hosts := f.match(pattern)
+	if len(hosts) == 0 {
+		return errors.Newf("no server matches %q", pattern)
+	}
+	for _, h := range hosts {
+		if err := h.set(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// set replaces the faults. A server that had died begins a cold start.
+func (h *host) set(p server.Plan) error {
+	now := h.fleet.clock.Now()
+	died := h.state.Plan().Die
+	h.state.SetPlan(p, now)
+	if p.Die {
+		h.gate.Shut()
+		return nil
+	}
+	if died {
+		h.state.Restart(now)
+	}
+	return h.gate.Open()
+}
+
+func (f *Fleet) statuses() []status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	all := make([]status, len(f.hosts))
+	for i, h := range f.hosts {
+		all[i] = status{h.state.Settings, h.state.Health(now), h.state.Peak(), h.state.Plan()}
+	}
+	return all
+}
+
+func (f *Fleet) executed(ctx *fasthttp.RequestCtx) {
+	f.mu.Lock()
+	entries := f.ledger.Entries()
+	f.mu.Unlock()
+	ctx.SetContentType("application/jsonlines")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		enc := json.NewEncoder(w)
+		for i := range entries {
+			if enc.Encode(&entries[i]) != nil {
+				return
+			}
+		}
+	})
+}
+
+func (f *Fleet) burst(ctx *fasthttp.RequestCtx) {
+	q := ctx.QueryArgs()
+	rate, err := strconv.ParseFloat(string(q.Peek("rate")), 64)
+	if err != nil {
+		ctx.Error("rate is not a number", fasthttp.StatusBadRequest)
+		return
+	}
+	service, team := sassafrastray.ServiceName(q.Peek("service")), sassafrastray.TeamName(q.Peek("team"))
+	f.mu.Lock()
+	burst := f.ledger.Burst(service, team, rate)
+	f.mu.Unlock()
+	writeJSON(ctx, struct {
+		Burst float64 `json:"burst"`
+	}{burst})
+}
--- /dev/null
+++ b/internal/standin/backend/fleet.go
@@ -0,0 +1,132 @@
+// Package backend serves stand-ins for backend servers over HTTP, many in one
+// process, with the faults that its control interface switches on.
+package backend
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"path"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+	"sassafrastray/internal/standin/gate"
+	"sassafrastray/internal/standin/ledger"
+	"sassafrastray/internal/standin/server"
+)
+
+// maxHeader bounds the header of a request in bytes.
+const maxHeader = 16 << 10
+
+type (
+	// Fleet is the backend servers of one process and what they executed.
+	Fleet struct {
+		clock sassafrastray.Clock
+		log   *slog.Logger
+
+		// mu guards the ledger and the state of all servers.
+		mu     sync.Mutex
+		ledger *ledger.Ledger
+		hosts  []*host
+	}
+
+	// host is one backend server and its listener.
+	host struct {
+		fleet *Fleet
+		gate  *gate.Gate
+		state *server.Server
+		// last is the answer that a crossed answer repeats.
+		last answer
+	}
+)
+
+// New returns a fleet that listens at the servers' addresses. Each server has
+// random numbers of its own, drawn from r.
+func New(clock sassafrastray.Clock, log *slog.Logger, r *rand.Rand, servers []server.Settings) (*Fleet, error) {
+	f := &Fleet{clock: clock, log: log, ledger: ledger.New()}
+	for _, s := range servers {
+		g, err := gate.New(s.Listen)
+		if err != nil {
+			f.close()
+			return nil, errors.Wrapf(err, "server %s", s.Name)
+		}
+		s.Listen = g.AddrPort()
+		state := server.New(s, rand.New(rand.NewPCG(r.Uint64(), r.Uint64())), clock.Now())
+		f.hosts = append(f.hosts, &host{fleet: f, gate: g, state: state})
+	}
+	return f, nil
+}
+
+// Serve answers requests, and control calls at control, until the context
+// ends.
+func (f *Fleet) Serve(ctx context.Context, control netip.AddrPort) error {
+	g, err := gate.New(control)
+	if err != nil {
+		f.close()
+		return errors.Wrap(err, "control address")
+	}
+	f.ServeOn(ctx, g)
+	return nil
+}
+
+// ServeOn is Serve on a control listener that exists. It closes it.
+func (f *Fleet) ServeOn(ctx context.Context, control *gate.Gate) {
+	context.AfterFunc(ctx, func() {
+		f.close()
+		_ = control.Close()
+	})
+	var all sync.WaitGroup
+	for _, h := range f.hosts {
+		all.Go(func() {
+			s := &fasthttp.Server{
+				Handler: h.handle, StreamRequestBody: true, ReadBufferSize: maxHeader,
+				NoDefaultServerHeader: true, Logger: quiet{f.log},
+			}
+			_ = s.Serve(h.gate)
+		})
+	}
+	f.log.Info("serving", "servers", len(f.hosts), "control", control.AddrPort())
+	_ = (&fasthttp.Server{Handler: f.Control, NoDefaultServerHeader: true}).Serve(control)
+	all.Wait()
+}
+
+// Servers returns the settings of the servers whose names match the pattern,
+// with the addresses that they listen at.
+func (f *Fleet) Servers(pattern string) []server.Settings {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []server.Settings
+	for _, h := range f.match(pattern) {
+		found = append(found, h.state.Settings)
+	}
+	return found
+}
+
+// match returns the servers whose names match the pattern.
+func (f *Fleet) match(pattern string) []*host {
+	var found []*host
+	for _, h := range f.hosts {
+		if ok, _ := path.Match(pattern, string(h.state.Name)); ok {
+			found = append(found, h)
+		}
+	}
+	return found
+}
+
+func (f *Fleet) close() {
+	for _, h := range f.hosts {
+		_ = h.gate.Close()
+	}
+}
+
+// quiet logs the HTTP library's notes on broken connections, which the faults
+// cause all the time, at debug level.
+type quiet struct{ log *slog.Logger }
+
+func (q quiet) Printf(format string, args ...any) {
+	q.log.Debug("http", "format", format, "args", args)
+}
--- a/internal/standin/gate/gate.go
+++ b/internal/standin/gate/gate.go
@@ -9,29 +9,21 @@
 	"github.com/cockroachdb/errors"
 )
 
-type (
-	// Gate is a listener. While it is shut, the machine refuses connections
-	// to its address, and those that it accepted are closed.
-	Gate struct {
-		addr netip.AddrPort
+// Gate is a listener. While it is shut, the machine refuses connections to its
+// address, and those that it accepted are closed.
+type Gate struct {
+	addr netip.AddrPort
 
-		mu     sync.Mutex
-		opened *sync.Cond
-		ln     net.Listener
-		closed bool
-		conns  map[*conn]struct{}
-	}
-
-	// conn is a connection that its gate can close.
-	conn struct {
-		net.Conn
-		gate *Gate
-	}
-)
+	mu     sync.Mutex
+	opened *sync.Cond
+	ln     net.Listener
+	closed bool
+	conns  map[*Conn]struct{}
+}
 
 // New returns an open gate. Port 0 takes a free one, which the gate keeps.
 func New(addr netip.AddrPort) (*Gate, error) {
-	g := &Gate{addr: addr, conns: map[*conn]struct{}{}}
+	g := &Gate{addr: addr, conns: map[*Conn]struct{}{}}
 	g.opened = sync.NewCond(&g.mu)
 	if err := g.Open(); err != nil {
 		return nil, err
@@ -87,26 +79,29 @@
 			return nil, net.ErrClosed
 		}
 		nc, err := ln.Accept()
-		if c := g.admit(ln, nc, err); c != nil {
-			return c, nil
+		if c, err := g.admit(ln, nc, err); c != nil || err != nil {
+			return c, err
 		}
 	}
 }
 
-// admit returns the connection unless the gate has been shut since.
-func (g *Gate) admit(ln net.Listener, nc net.Conn, err error) net.Conn {
-	if err != nil {
-		return nil
-	}
+// admit returns the connection, or the error of accepting it. It returns
+// neither if the gate has been shut since.
+func (g *Gate) admit(ln net.Listener, nc net.Conn, err error) (net.Conn, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.ln != ln {
-		nc.Close()
-		return nil
+		if err == nil {
+			nc.Close()
+		}
+		return nil, nil
 	}
-	c := &conn{nc, g}
+	if err != nil {
+		return nil, errors.Wrap(err, "accept")
+	}
+	c := &Conn{nc, g}
 	g.conns[c] = struct{}{}
-	return c
+	return c, nil
 }
 
 // Close shuts the gate for good.
@@ -124,11 +119,3 @@
 
 // AddrPort returns the address.
 func (g *Gate) AddrPort() netip.AddrPort { return g.addr }
-
-// Close closes the connection.
-func (c *conn) Close() error {
-	c.gate.mu.Lock()
-	delete(c.gate.conns, c)
-	c.gate.mu.Unlock()
-	return c.Conn.Close()
-}
--- /dev/null
+++ b/internal/standin/server/file.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+
+	"sassafrastray"
+)
+
+type (
+	// file is a list of groups of servers.
+	file struct {
+		Servers []group `yaml:"servers"`
+	}
+
+	// group is Count servers alike. Their names end with a number from 1,
+	// and their ports count up.
+	group struct {
+		Settings `yaml:",inline"`
+		Count    int `yaml:"count"`
+	}
+)
+
+// Parse reads the settings of servers from a YAML file.
+func Parse(text []byte) ([]Settings, error) {
+	var f file
+	if err := yaml.UnmarshalWithOptions(text, &f, yaml.Strict()); err != nil {
+		return nil, errors.Wrap(err, "servers")
+	}
+	var all []Settings
+	for _, g := range f.Servers {
+		all = append(all, Group(g.Settings, g.Count)...)
+	}
+	return all, check(all)
+}
+
+// Group returns count servers alike, whose names end with a number from 1 and
+// whose ports count up. For a count of 0 it returns the one server.
+func Group(s Settings, count int) []Settings {
+	if count == 0 {
+		return []Settings{s}
+	}
+	all := make([]Settings, count)
+	for i := range all {
+		all[i] = s
+		all[i].Name = sassafrastray.BackendName(fmt.Sprintf("%s-%d", s.Name, i+1))
+		if port := s.Listen.Port(); port != 0 {
+			all[i].Listen = netip.AddrPortFrom(s.Listen.Addr(), port+uint16(i))
+		}
+	}
+	return all
+}
+
+// check finds what would not work.
+func check(all []Settings) error {
+	names := map[sassafrastray.BackendName]bool{}
+	for _, s := range all {
+		switch {
+		case s.Name == "":
+			return errors.New("servers: a server has no name")
+		case names[s.Name]:
+			return errors.Newf("servers: %s is there twice", s.Name)
+		case !s.Listen.IsValid():
+			return errors.Newf("servers: %s has no address to listen at", s.Name)
+		case s.Slots <= 0:
+			return errors.Newf("servers: %s has no slots", s.Name)
+		}
+		names[s.Name] = true
+	}
+	return nil
+}
