Report load on expired answers like on all others

Cause: an answer with status 504 gave its slot back before it wrote its load report, other answers after.

Change: write the report first.

Conclusion: reports count the request itself on all answers.

--- a/internal/standin/backend/handle.go
+++ b/internal/standin/backend/handle.go
@@ -107,9 +107,9 @@
 		return
 	}
 	if expired {
-		x.end(ledger.Expired)
 		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
 		x.host.mark(ctx)
+		x.end(ledger.Expired)
 		return
 	}
 	x.answer(ctx, b)
