Move traffic between versions by a record in the store

Cause: a new version takes over step by step, and must be taken back when it is bad or late, whichever VM leads and whatever the store answers.

Ruled out: a leader chosen outside the store, since the record's version is already a fence; comparing wall clocks for the lease.

Change: internal/rollout/evidence counts requests by version, route and backend server and judges them; internal/rollout/move keeps the record, leads and applies the share.

Conclusion: first version; false alarm rates and mutations are not measured.

--- /dev/null
+++ b/internal/rollout/evidence/digest.go
@@ -0,0 +1,178 @@
+package evidence
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"sassafrastray"
+)
+
+const (
+	// digestWindows is how many windows a digest carries. A peer that loses
+	// fewer digests in a row than this lacks nothing.
+	digestWindows = 4
+	// maxRows bounds a digest.
+	maxRows = 200
+)
+
+type (
+	// Digest is the newest part of one VM's counts, as sent to its peers.
+	Digest struct {
+		VM  sassafrastray.VMName      `json:"vm"`
+		Inc sassafrastray.Incarnation `json:"inc"`
+		// Seq grows with each digest of one incarnation.
+		Seq int64 `json:"seq"`
+		// Window is the number of the sender's newest window.
+		Window int64 `json:"window"`
+		Rows   []Row `json:"rows,omitempty"`
+	}
+
+	// Row is one window of one route, version and backend server.
+	Row struct {
+		Service sassafrastray.ServiceName `json:"service"`
+		Version sassafrastray.VersionName `json:"version"`
+		Route   sassafrastray.RouteName   `json:"route"`
+		Backend sassafrastray.BackendName `json:"backend,omitempty"`
+		// Age is how many windows the row is older than the newest.
+		Age    int    `json:"age,omitempty"`
+		OK     uint32 `json:"ok,omitempty"`
+		Failed uint32 `json:"failed,omitempty"`
+		// First is the lowest bucket of Latency.
+		First   int      `json:"first,omitempty"`
+		Latency []uint32 `json:"latency,omitempty"`
+	}
+)
+
+// Digest returns the ledger's own newest windows for its peers. If there are
+// more rows than fit, the newest windows go first.
+func (l *Ledger) Digest(now time.Time) Digest {
+	idx := l.index(now)
+	l.seq++
+	d := Digest{VM: l.self, Inc: l.inc, Seq: l.seq, Window: idx}
+	for k, s := range l.own.series {
+		for age := range digestWindows {
+			if c := &s.ring[(idx-int64(age))%windows]; c.index == idx-int64(age) && c.ok+c.failed > 0 {
+				d.Rows = append(d.Rows, c.row(k, age))
+			}
+		}
+	}
+	slices.SortFunc(d.Rows, compareRows)
+	d.Rows = d.Rows[:min(len(d.Rows), maxRows)]
+	return d
+}
+
+func compareRows(a, b Row) int {
+	return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version),
+		cmp.Compare(a.Route, b.Route), cmp.Compare(a.Backend, b.Backend))
+}
+
+func (c *cell) row(k key, age int) Row {
+	r := Row{
+		Service: k.service, Version: k.version, Route: k.route, Backend: k.backend,
+		Age: age, OK: c.ok, Failed: c.failed,
+	}
+	first, last := 0, len(c.latency)
+	for first < last && c.latency[first] == 0 {
+		first++
+	}
+	for last > first && c.latency[last-1] == 0 {
+		last--
+	}
+	if first < last {
+		r.First, r.Latency = first, slices.Clone(c.latency[first:last])
+	}
+	return r
+}
+
+// Merge takes in a peer's digest. Digests that are older than one already
+// merged, or of an earlier incarnation, are ignored, so digests may arrive
+// twice, late and in any order.
+func (l *Ledger) Merge(d Digest, now time.Time) {
+	if d.VM == l.self || len(d.Rows) > maxRows {
+		return
+	}
+	idx := l.index(now)
+	p := l.peer(d, idx)
+	if p == nil {
+		return
+	}
+	p.seq = d.Seq
+	p.shift(idx-d.Window, d.Window)
+	for _, r := range d.Rows {
+		k, ok := l.key(r.Service, r.Version, r.Route, r.Backend)
+		at := d.Window + p.offset - int64(r.Age)
+		if !ok || !r.valid() || at > idx || at <= idx-windows {
+			continue
+		}
+		p.at(k).cell(at).set(r)
+	}
+}
+
+// peer returns the source that the digest is to be merged into, or nil.
+func (l *Ledger) peer(d Digest, idx int64) *source {
+	p := l.peers[d.VM]
+	if p != nil && (d.Inc < p.inc || d.Inc == p.inc && d.Seq <= p.seq) {
+		return nil
+	}
+	if p == nil && len(l.peers) >= maxPeers && !l.evict(idx) {
+		return nil
+	}
+	if p == nil || d.Inc > p.inc {
+		p = &source{inc: d.Inc, offset: idx - d.Window, series: map[key]*series{}}
+		l.peers[d.VM] = p
+	}
+	return p
+}
+
+// shift lowers the offset of a source, as the least one comes from the digest
+// that travelled fastest. The windows that a digest can still carry are then
+// emptied, because they would be counted a second time under another index.
+func (s *source) shift(offset, newest int64) {
+	if offset >= s.offset {
+		return
+	}
+	s.offset = offset
+	for _, c := range s.series {
+		for i := range c.ring {
+			if c.ring[i].index > newest+offset-digestWindows {
+				c.ring[i] = cell{index: c.ring[i].index}
+			}
+		}
+	}
+}
+
+// evict drops one peer without recent counts, and tells whether it found one.
+func (l *Ledger) evict(idx int64) bool {
+	for _, name := range slices.Sorted(maps.Keys(l.peers)) {
+		if !l.peers[name].recent(idx) {
+			delete(l.peers, name)
+			return true
+		}
+	}
+	return false
+}
+
+func (s *source) recent(idx int64) bool {
+	for _, c := range s.series {
+		for i := range c.ring {
+			if c.ring[i].index > idx-windows {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (r *Row) valid() bool {
+	return r.Age >= 0 && r.Age < digestWindows && r.First >= 0 && r.First+len(r.Latency) <= buckets
+}
+
+func (c *cell) set(r Row) {
+	if c == nil {
+		return
+	}
+	*c = cell{index: c.index, ok: r.OK, failed: r.Failed}
+	copy(c.latency[r.First:], r.Latency)
+}
--- /dev/null
+++ b/internal/rollout/evidence/evidence_test.go
@@ -0,0 +1,154 @@
+package evidence
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sassafrastray"
+)
+
+type (
+	// traffic makes requests of one service: what each version does, and how
+	// they arrive.
+	traffic struct {
+		rng      *rand.Rand
+		perTick  int // requests in each tick of 100 ms over all VMs
+		share    float64
+		backends int
+		routes   int
+		old      behaviour
+		new      behaviour
+	}
+
+	// behaviour is how a version answers at an age, in ticks.
+	behaviour func(tick, route, backend int, rng *rand.Rand) Sample
+)
+
+const tick = 100 * time.Millisecond
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// plain fails at a rate and has log-normal latency around a median.
+func plain(failed, median, sigma float64) behaviour {
+	return func(_, _, _ int, rng *rand.Rand) Sample {
+		return Sample{
+			OK:      rng.Float64() >= failed,
+			Latency: time.Duration(median * math.Exp(sigma*rng.NormFloat64()) * float64(time.Millisecond)),
+		}
+	}
+}
+
+func (tr traffic) service() sassafrastray.Service {
+	s := sassafrastray.Service{Name: "stock", Move: &sassafrastray.Move{Name: "m", From: "v1", To: "v2"}}
+	for i := range tr.routes {
+		s.Routes = append(s.Routes, sassafrastray.Route{Name: routeName(i)})
+	}
+	for i := range tr.backends {
+		s.Backends = append(s.Backends, sassafrastray.BackendServer{
+			Name: backendName(i), Domain: sassafrastray.DomainName(fmt.Sprint("d", i%4)), Version: "v2",
+		})
+	}
+	return s
+}
+
+func routeName(i int) sassafrastray.RouteName { return sassafrastray.RouteName(fmt.Sprint("r", i)) }
+
+func backendName(i int) sassafrastray.BackendName {
+	return sassafrastray.BackendName(fmt.Sprint("b", i))
+}
+
+// run plays traffic for ticks over the ledgers of several VMs that exchange
+// digests every second, and returns the first verdict that is bad with the
+// tick and the new version's requests up to it.
+func (tr traffic) run(vms, ticks int) (at int, requests int, last Verdict) {
+	ls := make([]*Ledger, vms)
+	for i := range ls {
+		ls[i] = New(sassafrastray.VMName(fmt.Sprint("vm", i)), 1, Options{})
+		ls[i].Configure([]sassafrastray.Service{tr.service()}, epoch)
+	}
+	for t := range ticks {
+		now := epoch.Add(time.Duration(t) * tick)
+		for range tr.perTick {
+			requests += tr.request(ls[tr.rng.IntN(vms)], t, now)
+		}
+		if t%10 != 9 {
+			continue
+		}
+		for _, a := range ls {
+			d := a.Digest(now)
+			for _, b := range ls {
+				b.Merge(d, now)
+			}
+		}
+		if last = ls[0].Judge("stock", "v1", "v2", now); last.Kind == Bad {
+			return t, requests, last
+		}
+	}
+	return -1, requests, last
+}
+
+func (tr traffic) request(l *Ledger, t int, now time.Time) int {
+	r, b := tr.rng.IntN(tr.routes), tr.rng.IntN(tr.backends)
+	if tr.rng.Float64() < tr.share {
+		l.Add("stock", "v2", routeName(r), backendName(b), tr.new(t, r, b, tr.rng), now)
+		return 1
+	}
+	l.Add("stock", "v1", routeName(r), "old", tr.old(t, r, b, tr.rng), now)
+	return 0
+}
+
+func TestJudge(t *testing.T) {
+	steady := plain(0.02, 20, 1)
+	tests := []struct {
+		name string
+		new  behaviour
+		want Kind
+	}{
+		{"alike", steady, Good},
+		{"fails", plain(0.3, 20, 1), Bad},
+		{"slow", plain(0.02, 80, 1), Bad},
+		{"one route fails", func(tk, r, b int, rng *rand.Rand) Sample {
+			if r == 2 {
+				return plain(0.5, 20, 1)(tk, r, b, rng)
+			}
+			return steady(tk, r, b, rng)
+		}, Bad},
+		{"fails later", func(tk, r, b int, rng *rand.Rand) Sample {
+			if tk > 800 {
+				return plain(0.5, 20, 1)(tk, r, b, rng)
+			}
+			return steady(tk, r, b, rng)
+		}, Bad},
+		{"one server fails", func(tk, r, b int, rng *rand.Rand) Sample {
+			if b == 3 {
+				return plain(1, 20, 1)(tk, r, b, rng)
+			}
+			return steady(tk, r, b, rng)
+		}, Good},
+		{"one server is slow", func(tk, r, b int, rng *rand.Rand) Sample {
+			if b == 3 {
+				return plain(0.02, 2000, 1)(tk, r, b, rng)
+			}
+			return steady(tk, r, b, rng)
+		}, Good},
+		{"cold caches", func(tk, r, b int, rng *rand.Rand) Sample {
+			return plain(0.02, 20+200*math.Exp(-float64(tk)/80), 1)(tk, r, b, rng)
+		}, Good},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := traffic{
+				rng: rand.New(rand.NewPCG(1, 2)), perTick: 40, share: 0.1, backends: 8, routes: 4,
+				old: steady, new: tt.new,
+			}
+			at, n, v := tr.run(3, 1200)
+			t.Log(at, n, v)
+			if v.Kind != tt.want {
+				t.Fatalf("verdict %+v, want %s", v, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/rollout/move/call.go
@@ -0,0 +1,133 @@
+package move
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafrastray"
+	"sassafrastray/internal/rollout/evidence"
+)
+
+// maxBackoff bounds the wait after failed store calls.
+const maxBackoff = 8 * time.Second
+
+func (m *Mover) get(s *service, now time.Time) []Effect {
+	m.token++
+	s.call, s.needGet, s.askedAt = &call{token: m.token, sent: now}, false, now
+	return []Effect{Get{Service: s.name, Key: Key(s.name), Token: m.token}}
+}
+
+func (m *Mover) put(s *service, rec *Record, decision string, now time.Time) []Effect {
+	m.token++
+	rec.Renewals++
+	rec.Config = max(rec.Config, m.number)
+	s.call = &call{token: m.token, sent: now, rec: rec}
+	p := Put{Service: s.name, Key: Key(s.name), Token: m.token, Value: rec.encode(), Version: s.version}
+	l := m.log(s, decision, rec.Share, rec.Reason)
+	l.Move = rec.Move
+	return []Effect{p, l}
+}
+
+// answered returns the service and its call that an answer belongs to. An
+// answer to a call that was given up is nil.
+func (m *Mover) answered(name sassafrastray.ServiceName, token int64) (*service, *call) {
+	s := m.services[name]
+	if s == nil || s.call == nil || s.call.token != token {
+		return nil, nil
+	}
+	c := s.call
+	s.call = nil
+	return s, c
+}
+
+func (m *Mover) got(ev Got, now time.Time) {
+	s, c := m.answered(ev.Service, ev.Token)
+	if s == nil {
+		return
+	}
+	if errors.Is(ev.Err, sassafrastray.ErrNotFound) {
+		// The known record is kept and written again if the object is gone.
+		s.known, s.version, s.failures = true, 0, 0
+		return
+	}
+	if ev.Err != nil {
+		m.failed(s, now)
+		return
+	}
+	rec, err := Decode(ev.Object.Value)
+	if err != nil || !s.adopt(rec, ev.Object.Version, false, now) {
+		m.failed(s, now)
+		return
+	}
+	s.failures = 0
+	s.confirm(c.sent)
+}
+
+func (m *Mover) wrote(ev Wrote, now time.Time) {
+	s, c := m.answered(ev.Service, ev.Token)
+	if s == nil {
+		return
+	}
+	switch {
+	case ev.Err == nil && c.rec != nil:
+		s.failures = 0
+		if s.adopt(c.rec, ev.Version, false, now) {
+			s.confirm(c.sent)
+			s.wroteAt = c.sent
+		}
+	case errors.Is(ev.Err, sassafrastray.ErrConflict):
+		s.needGet = true
+	default:
+		// The write may have taken effect, so the record is read back. If
+		// it names this VM, the write was this VM's own.
+		m.failed(s, now)
+	}
+}
+
+// failed backs off and reads the record again later.
+func (m *Mover) failed(s *service, now time.Time) {
+	s.needGet = true
+	wait := min(m.opt.Backoff<<min(s.failures, 8), maxBackoff)
+	s.failures++
+	s.retryAt = now.Add(m.jitter(wait))
+}
+
+func (m *Mover) watched(ev Watched, now time.Time) {
+	s := m.services[ev.Service]
+	if s == nil || ev.Object.Deleted {
+		return
+	}
+	if rec, err := Decode(ev.Object.Value); err == nil {
+		s.adopt(rec, ev.Object.Version, false, now)
+	}
+}
+
+func (m *Mover) judged(ev Judged, now time.Time) {
+	s := m.services[ev.Service]
+	if s == nil || s.move == nil || s.move.Name != ev.Move {
+		return
+	}
+	s.verdict, s.headroom, s.judgedAt = ev.Verdict, ev.Headroom, now
+	if ev.Verdict.Kind == evidence.Bad && s.bad == nil {
+		s.bad = &Bad{Service: s.name, Move: ev.Move, VM: m.self, Reason: ev.Verdict.Reason}
+	}
+}
+
+func (m *Mover) heard(ev Heard, now time.Time) {
+	for _, c := range ev.Beat.Records {
+		s := m.services[c.Service]
+		if s == nil || !s.adopt(&c.Record, c.Version, true, now) || c.Version != s.version {
+			continue
+		}
+		if !ev.Asked.IsZero() && c.Age >= 0 {
+			s.confirm(ev.Asked.Add(-c.Age))
+		}
+	}
+	for _, b := range ev.Beat.Bad {
+		s := m.services[b.Service]
+		if s != nil && s.move != nil && s.move.Name == b.Move && s.bad == nil {
+			s.bad = &b
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/move/service.go
@@ -0,0 +1,134 @@
+package move
+
+import (
+	"time"
+
+	"sassafrastray"
+	"sassafrastray/internal/rollout/evidence"
+)
+
+type (
+	// service is what one VM knows of one service's move.
+	service struct {
+		name sassafrastray.ServiceName
+		// move is the configuration's move, or nil.
+		move *sassafrastray.Move
+		// current is the version that serves without a move.
+		current sassafrastray.VersionName
+		// fallback tells whether the old version has backend servers.
+		fallback bool
+
+		// known tells whether anything was learned of the record; rec is nil
+		// if there was none. Partial records lack their past.
+		known   bool
+		rec     *Record
+		version int64
+		partial bool
+		// fresh is the last time at which the store is known to have held
+		// rec; changed and stepped are when this VM saw its version and its
+		// step for the first time.
+		fresh   time.Time
+		changed time.Time
+		stepped time.Time
+
+		// share is what this VM sends to the new version, in thousandths.
+		share int
+		bad   *Bad
+		// hold says why the leader does not raise the share.
+		hold string
+
+		verdict    evidence.Verdict
+		judgedAt   time.Time
+		headroom   *int
+		wanted     time.Time // since when this VM has wanted to write
+		wantedWhat string
+		stagger    time.Duration
+
+		call     *call
+		needGet  bool
+		retryAt  time.Time
+		failures int
+		wroteAt  time.Time
+		askedAt  time.Time
+	}
+
+	// call is a store call under way. Rec is nil for a Get.
+	call struct {
+		token int64
+		sent  time.Time
+		rec   *Record
+	}
+)
+
+func (s *service) configure(c *sassafrastray.Service) {
+	s.current = c.Version
+	if s.move == nil || c.Move == nil || s.move.Name != c.Move.Name {
+		s.reset()
+		s.needGet = s.needGet || c.Move != nil
+	}
+	s.move, s.fallback = nil, false
+	if c.Move == nil {
+		return
+	}
+	wish := *c.Move
+	s.move = &wish
+	for _, b := range c.Backends {
+		if b.Version == wish.From && !b.Leaving {
+			s.fallback = true
+		}
+	}
+}
+
+// withdraw forgets the move of a service that has left the configuration.
+func (s *service) withdraw() {
+	s.reset()
+	s.move, s.current, s.fallback = nil, "", false
+}
+
+// reset forgets what belongs to the configuration's move alone.
+func (s *service) reset() {
+	s.share, s.bad, s.hold = 0, nil, ""
+	s.verdict, s.judgedAt, s.headroom = evidence.Verdict{}, time.Time{}, nil
+	s.wanted = time.Time{}
+}
+
+// withdrawn tells whether the record's running move is no longer what the
+// operators want, and why.
+func (s *service) withdrawn() string {
+	switch {
+	case s.move == nil:
+		return "withdrawn"
+	case s.move.Name != s.rec.Move:
+		return "replaced by " + string(s.move.Name)
+	case s.move.From != s.rec.From || s.move.To != s.rec.To:
+		return "its versions were changed"
+	}
+	return ""
+}
+
+// adopt takes in a record that is newer than the known one. It tells whether
+// the object was the known one or newer.
+func (s *service) adopt(rec *Record, version int64, partial bool, now time.Time) bool {
+	if s.known && version < s.version {
+		return false
+	}
+	if s.known && version == s.version && s.rec != nil {
+		if !partial && s.partial {
+			s.rec, s.partial = rec, false
+		}
+		return true
+	}
+	if s.rec == nil || s.rec.Move != rec.Move || s.rec.Step != rec.Step {
+		s.stepped = now
+	}
+	s.known, s.rec, s.version, s.partial = true, rec, version, partial
+	s.changed, s.fresh = now, time.Time{}
+	return true
+}
+
+// confirm notes that the store held the known record at the time at.
+func (s *service) confirm(at time.Time) {
+	if at.After(s.fresh) {
+		s.fresh = at
+	}
+}
