--- a/cmd/sassafrastray/main.go
+++ b/cmd/sassafrastray/main.go
@@ -13,6 +13,7 @@
 	// cli is the command line; each subcommand is in a file of its own.
 	cli struct {
 		Check   checkCmd   `cmd:"" help:"Check operators' files."`
+		Serve   serveCmd   `cmd:"" help:"Run one entry VM."`
 		Version versionCmd `cmd:"" help:"Print the program's version."`
 	}
 
--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sassafrastray"
+	"sassafrastray/internal/platform/config"
 	"sassafrastray/internal/standin/backend"
 	"sassafrastray/internal/standin/server"
 )
@@ -20,6 +21,7 @@
 type backendCmd struct {
 	Control netip.AddrPort `help:"Address for control calls." default:"127.0.0.1:7101"`
 	Servers string         `help:"YAML file with many servers; it replaces the flags for one." type:"existingfile"`
+	Config  string         `help:"Directory of operators' files; all their backend servers are run." type:"existingdir"`
 	Seed    uint64         `help:"Seed of the times of work and the random faults." default:"1"`
 
 	Name    string         `help:"The server's name." default:"server"`
@@ -54,6 +56,9 @@
 		}
 		return server.Parse(b)
 	}
+	if c.Config != "" {
+		return c.configured()
+	}
 	return server.Group(server.Settings{
 		Name:    sassafrastray.BackendName(c.Name),
 		Service: sassafrastray.ServiceName(c.Service),
@@ -61,3 +66,21 @@
 		Listen:  c.Listen, Slots: c.Slots, Time: c.Time, Spread: c.Spread,
 	}, c.Count), nil
 }
+
+// configured returns the backend servers of the operators' files.
+func (c *backendCmd) configured() ([]server.Settings, error) {
+	conf, err := config.Load(c.Config)
+	if err != nil {
+		return nil, err
+	}
+	var all []server.Settings
+	for _, s := range conf.Services {
+		for _, b := range s.Backends {
+			all = append(all, server.Settings{
+				Name: b.Name, Service: s.Name, Version: b.Version,
+				Listen: b.Address, Slots: b.Slots, Time: c.Time, Spread: c.Spread,
+			})
+		}
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/fleet/member/table.go
@@ -0,0 +1,272 @@
+// Package member keeps one VM's view of the other VMs: who they are, whether
+// they are alive, and whom to send heartbeats to.
+//
+// The platform's list names candidates; heartbeats tell who is alive. A VM
+// that is dead and a VM that is cut off look alike, so nothing may rely on a
+// VM missing from the view being dead.
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sassafrastray"
+)
+
+type (
+	// Options are the table's bounds.
+	Options struct {
+		// Suspect is the silence after which a VM gets no new work.
+		Suspect time.Duration
+		// Dead is the silence after which a VM leaves the view.
+		Dead time.Duration
+		// Forget is how long a dead VM that the platform no longer lists is
+		// still sent heartbeats.
+		Forget time.Duration
+		// Direct is the largest fleet in which every VM sends heartbeats to
+		// every other. Beyond it, VMs speak to their own failure domain and
+		// Delegates of each domain speak to those of Fanout other domains
+		// at a time.
+		Direct    int
+		Delegates int
+		Fanout    int
+	}
+
+	// Beat is the part of a heartbeat that the table reads.
+	Beat struct {
+		VM          sassafrastray.VM
+		Incarnation sassafrastray.Incarnation
+		// Sequence grows with each heartbeat of an incarnation.
+		Sequence uint64
+		// Config is the number of the configuration in force on the VM.
+		Config int64
+	}
+
+	// Member is a VM as others see it.
+	Member struct {
+		Beat
+		// Age is the time since the VM's latest heartbeat.
+		Age time.Duration
+		// Suspect VMs are silent for too long to get new work.
+		Suspect bool
+	}
+
+	entry struct {
+		beat   Beat
+		heard  time.Time
+		listed time.Time
+		// missed is when the platform's list last lacked the VM.
+		missed time.Time
+	}
+
+	// Table is the view of one VM. It is not safe for concurrent use.
+	Table struct {
+		self    sassafrastray.VM
+		opt     Options
+		entries map[sassafrastray.VMName]*entry
+		round   int
+	}
+)
+
+// Defaults returns the usual bounds.
+func Defaults() Options {
+	return Options{
+		Suspect: 2 * time.Second, Dead: 6 * time.Second, Forget: time.Minute,
+		Direct: 24, Delegates: 2, Fanout: 6,
+	}
+}
+
+// New returns a table that knows only the VM itself.
+func New(self sassafrastray.VM, opt Options) *Table {
+	return &Table{self: self, opt: opt, entries: make(map[sassafrastray.VMName]*entry)}
+}
+
+// List takes in the platform's list. It lags, so a VM that it lacks is
+// forgotten only if it is silent too, and the state that it gives counts only
+// until the VM's own heartbeats tell better.
+func (t *Table) List(vms []sassafrastray.VM, now time.Time) {
+	seen := make(map[sassafrastray.VMName]bool, len(vms))
+	for _, v := range vms {
+		if v.Name == t.self.Name {
+			continue
+		}
+		seen[v.Name] = true
+		e := t.entries[v.Name]
+		if e == nil {
+			e = &entry{beat: Beat{VM: v}}
+			t.entries[v.Name] = e
+		}
+		if e.heard.IsZero() {
+			e.beat.VM = v
+		}
+		if v.State == sassafrastray.Leaving {
+			e.beat.VM.State = sassafrastray.Leaving
+		}
+		e.listed, e.missed = now, time.Time{}
+	}
+	for name, e := range t.entries {
+		if !seen[name] && e.missed.IsZero() {
+			e.missed = now
+		}
+	}
+}
+
+// Hear takes in a heartbeat that arrived straight from its VM or through
+// another. It reports whether the heartbeat was news: late and repeated ones
+// change nothing.
+func (t *Table) Hear(b Beat, now time.Time) bool {
+	if b.VM.Name == t.self.Name {
+		return false
+	}
+	e := t.entries[b.VM.Name]
+	if e == nil {
+		e = &entry{missed: now}
+		t.entries[b.VM.Name] = e
+	}
+	old := e.beat
+	if b.Incarnation < old.Incarnation || b.Incarnation == old.Incarnation && b.Sequence <= old.Sequence {
+		return false
+	}
+	// A process that began to stop never takes requests again.
+	if b.Incarnation == old.Incarnation && old.VM.State == sassafrastray.Leaving {
+		b.VM.State = sassafrastray.Leaving
+	}
+	e.beat, e.heard = b, now
+	return true
+}
+
+// Tick forgets VMs that are neither listed nor heard of, and returns the VMs
+// that the next heartbeat goes to.
+func (t *Table) Tick(now time.Time) []sassafrastray.VM {
+	for name, e := range t.entries {
+		silent := e.heard.IsZero() || now.Sub(e.heard) > t.opt.Dead
+		if silent && !e.missed.IsZero() && now.Sub(e.missed) > t.opt.Forget {
+			delete(t.entries, name)
+		}
+	}
+	all := t.sorted()
+	if len(all) < t.opt.Direct {
+		return vms(all)
+	}
+	return t.sparse(all, now)
+}
+
+// sparse returns the VM's own failure domain and, if the VM is one of its
+// domain's delegates, the delegates of the next few other domains.
+func (t *Table) sparse(all []*entry, now time.Time) []sassafrastray.VM {
+	byDomain := make(map[sassafrastray.DomainName][]*entry)
+	var domains []sassafrastray.DomainName
+	for _, e := range all {
+		d := e.beat.VM.Domain
+		if byDomain[d] == nil && d != t.self.Domain {
+			domains = append(domains, d)
+		}
+		byDomain[d] = append(byDomain[d], e)
+	}
+	to := vms(byDomain[t.self.Domain])
+	if t.above(byDomain[t.self.Domain], now) >= t.opt.Delegates {
+		return to
+	}
+	slices.Sort(domains)
+	for i := range min(t.opt.Fanout, len(domains)) {
+		d := domains[(t.round+i)%len(domains)]
+		to = append(to, vms(t.delegates(byDomain[d], now))...)
+	}
+	t.round += t.opt.Fanout
+	return to
+}
+
+// Rank returns how many live VMs of the failure domain come before this VM
+// when one or a few are to act for all.
+func (t *Table) Rank(now time.Time) int {
+	var mates []*entry
+	for _, e := range t.entries {
+		if e.beat.VM.Domain == t.self.Domain {
+			mates = append(mates, e)
+		}
+	}
+	return t.above(mates, now)
+}
+
+func (t *Table) above(mates []*entry, now time.Time) int {
+	own, n := rank(t.self.Name), 0
+	for _, e := range mates {
+		if t.alive(e, now) && rank(e.beat.VM.Name) > own {
+			n++
+		}
+	}
+	return n
+}
+
+// delegates returns the VMs that speak for a domain: the live ones of highest
+// rank or, where none is known to live, those of highest rank.
+func (t *Table) delegates(of []*entry, now time.Time) []*entry {
+	of = slices.Clone(of)
+	slices.SortFunc(of, func(a, b *entry) int {
+		if x, y := t.alive(a, now), t.alive(b, now); x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(rank(b.beat.VM.Name), rank(a.beat.VM.Name))
+	})
+	return of[:min(len(of), t.opt.Delegates)]
+}
+
+// View returns the VMs that were heard of lately, by name. The VM itself is
+// not among them.
+func (t *Table) View(now time.Time) []Member {
+	var view []Member
+	for _, e := range t.sorted() {
+		if e.heard.IsZero() {
+			continue
+		}
+		age := now.Sub(e.heard)
+		if age > t.opt.Dead {
+			continue
+		}
+		view = append(view, Member{Beat: e.beat, Age: age, Suspect: age > t.opt.Suspect})
+	}
+	return view
+}
+
+// Find returns the VM called name.
+func (t *Table) Find(name sassafrastray.VMName) (sassafrastray.VM, bool) {
+	e := t.entries[name]
+	if e == nil {
+		return sassafrastray.VM{}, false
+	}
+	return e.beat.VM, true
+}
+
+// Known returns all candidates, heard of or not, by name.
+func (t *Table) Known() []sassafrastray.VM { return vms(t.sorted()) }
+
+func (t *Table) alive(e *entry, now time.Time) bool {
+	return !e.heard.IsZero() && now.Sub(e.heard) <= t.opt.Suspect && e.beat.VM.State == sassafrastray.Live
+}
+
+func (t *Table) sorted() []*entry {
+	all := make([]*entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b *entry) int { return cmp.Compare(a.beat.VM.Name, b.beat.VM.Name) })
+	return all
+}
+
+func vms(es []*entry) []sassafrastray.VM {
+	out := make([]sassafrastray.VM, len(es))
+	for i, e := range es {
+		out[i] = e.beat.VM
+	}
+	return out
+}
+
+// rank orders the VMs of a domain the same way on every VM, independently of
+// how names are given out.
+func rank(n sassafrastray.VMName) uint64 { return xxhash.Sum64String(string(n)) }
--- /dev/null
+++ b/internal/fleet/peer/message.go
@@ -0,0 +1,73 @@
+// Package peer is the inner protocol, which VMs speak among themselves: JSON
+// over HTTP on a listener apart from the callers', for heartbeats, quota loans
+// and configuration, and forwarded requests with their bodies as streams.
+package peer
+
+import (
+	"time"
+
+	"sassafrastray"
+	"sassafrastray/internal/fleet/member"
+	"sassafrastray/internal/limit/quota"
+	"sassafrastray/internal/rollout/evidence"
+	"sassafrastray/internal/rollout/move"
+	"sassafrastray/internal/traffic/keeper"
+)
+
+// Paths of the inner protocol.
+const (
+	BeatPath    = "/beat"
+	ConfigPath  = "/config"
+	QuotaPath   = "/quota"
+	ForwardPath = "/forward"
+)
+
+// Headers of the inner protocol. A caller's headers with the prefix are
+// dropped, so none of them can come from a caller.
+const (
+	Prefix        = "Inner-"
+	TokenHeader   = "Inner-Token"
+	FromHeader    = "Inner-From"
+	DomainHeader  = "Inner-Domain"
+	ServiceHeader = "Inner-Service"
+	RouteHeader   = "Inner-Route"
+	VersionHeader = "Inner-Version"
+	TeamHeader    = "Inner-Team"
+	KeyHeader     = "Inner-Key"     // digest of the caller's key
+	TimeoutHeader = "Inner-Timeout" // milliseconds left
+	PathHeader    = "Inner-Path"    // the caller's path and query
+	AvoidHeader   = "Inner-Avoid"   // backend servers not to use again
+	BackendHeader = "Inner-Backend" // backend server that was tried
+)
+
+type (
+	// Heartbeat is what a VM tells others about itself, and its own
+	// failure domain's VMs to those of other domains.
+	Heartbeat struct {
+		VM       sassafrastray.VM          `json:"vm"`
+		Inc      sassafrastray.Incarnation `json:"inc"`
+		Sequence uint64                    `json:"seq"`
+		Config   int64                     `json:"config"`
+		// Confirmed is how long ago the VM last knew that its configuration
+		// is the newest, in milliseconds.
+		Confirmed int64 `json:"confirmed"`
+		// Loads, Holdings and Drains tell of the backend servers that the VM
+		// keeps.
+		Loads    []keeper.Load               `json:"loads,omitempty"`
+		Holdings []keeper.Holding            `json:"holdings,omitempty"`
+		Drains   []sassafrastray.BackendName `json:"drains,omitempty"`
+		Quota    quota.Digest                `json:"quota"`
+		Evidence evidence.Digest             `json:"evidence"`
+		Moves    move.Beat                   `json:"moves"`
+		// Mates are relayed heartbeats of other VMs.
+		Mates []Heartbeat `json:"mates,omitempty"`
+	}
+)
+
+// Beat returns the part of the heartbeat that membership reads.
+func (h *Heartbeat) Beat() member.Beat {
+	return member.Beat{VM: h.VM, Incarnation: h.Inc, Sequence: h.Sequence, Config: h.Config}
+}
+
+// Age returns how long ago the VM knew its configuration to be the newest.
+func (h *Heartbeat) Age() time.Duration { return time.Duration(h.Confirmed) * time.Millisecond }
--- /dev/null
+++ b/internal/fleet/vm/beat.go
@@ -0,0 +1,155 @@
+package vm
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafrastray"
+	"sassafrastray/internal/fleet/peer"
+	"sassafrastray/internal/limit/quota"
+	"sassafrastray/internal/rollout/evidence"
+	"sassafrastray/internal/rollout/move"
+	"sassafrastray/internal/traffic/keeper"
+)
+
+// readList reads the platform's list of VMs.
+func (v *VM) readList() {
+	v.spawn(func() {
+		vms, err := v.vms()
+		v.metrics.store.WithLabelValues("vms", outcome(err)).Inc()
+		if err != nil {
+			return
+		}
+		v.post(func(now time.Time) { v.members.List(vms, now) })
+	})
+}
+
+// targets returns the VMs that the next heartbeat goes to. Before the
+// platform's list was read these are the seeds of the settings.
+func (v *VM) targets(now time.Time) []sassafrastray.VM {
+	to := v.members.Tick(now)
+	if len(to) > 0 {
+		return to
+	}
+	for _, a := range v.set.Seeds {
+		if a != v.self.Inner {
+			to = append(to, sassafrastray.VM{Inner: a})
+		}
+	}
+	return to
+}
+
+// beat sends a heartbeat to each VM and takes its own in.
+func (v *VM) beat(to []sassafrastray.VM, now time.Time) {
+	h := v.heartbeat(now)
+	for _, t := range to {
+		v.spawn(func() {
+			asked := v.clock.Now()
+			answer, err := v.client.Beat(t, h, callTimeout)
+			if err != nil {
+				v.post(func(now time.Time) { v.stepPlaceProbe(t.Name, false, now) })
+				return
+			}
+			v.post(func(now time.Time) {
+				v.stepPlaceProbe(t.Name, true, now)
+				v.hear(answer, asked, now)
+			})
+		})
+	}
+}
+
+// heartbeat is what the VM tells about itself.
+func (v *VM) heartbeat(now time.Time) *peer.Heartbeat {
+	v.sequence++
+	h := &peer.Heartbeat{VM: v.self, Inc: v.inc, Sequence: v.sequence}
+	h.VM.State = v.state
+	if c := v.conf.current; c != nil {
+		h.Config = c.Number
+		h.Confirmed = now.Sub(v.conf.confirmed).Milliseconds()
+	}
+	v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) {
+		h.Loads, h.Holdings, h.Drains = k.Load(), k.Holdings(now), k.Drains(now)
+		return nil, nil
+	})
+	v.quotas.do(func(b *quota.Book, _ time.Time) { h.Quota = b.Digest() })
+	v.samples.do(func(l *evidence.Ledger, now time.Time) { h.Evidence = l.Digest(now) })
+	h.Moves = v.mover.Beat(now)
+	return h
+}
+
+// Beat takes in another VM's heartbeat and returns the VM's own.
+func (v *VM) Beat(h *peer.Heartbeat) *peer.Heartbeat {
+	answer := make(chan *peer.Heartbeat, 1)
+	if !v.post(func(now time.Time) {
+		v.hear(h, time.Time{}, now)
+		answer <- v.heartbeat(now)
+	}) {
+		return nil
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-v.ctx.Done():
+		return nil
+	}
+}
+
+// hear takes in a heartbeat. Asked is when this VM sent the message that the
+// heartbeat answers, or zero.
+func (v *VM) hear(h *peer.Heartbeat, asked, now time.Time) {
+	if !v.members.Hear(h.Beat(), now) {
+		return
+	}
+	v.beats[h.VM.Name] = h
+	v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) {
+		k.Heard(h.Holdings, now)
+		for _, b := range h.Drains {
+			k.Drain(b, now)
+		}
+		return nil, nil
+	})
+	v.samples.do(func(l *evidence.Ledger, now time.Time) { l.Merge(h.Evidence, now) })
+	v.stepMoves(move.Heard{Beat: h.Moves, Asked: asked}, now)
+	v.hearConfig(h, asked)
+}
+
+// hearConfig pulls a newer configuration, or counts the other VM's
+// confirmation of the same one.
+func (v *VM) hearConfig(h *peer.Heartbeat, asked time.Time) {
+	own := int64(0)
+	if v.conf.current != nil {
+		own = v.conf.current.Number
+	}
+	switch {
+	case h.Config > own:
+		v.pull(h.VM)
+	case h.Config == own && own > 0 && !asked.IsZero():
+		// The other's age is at most that large at the time it was asked.
+		v.confirm(asked.Add(-h.Age()))
+	}
+}
+
+// unreachable notes that no connection to a VM could be opened. Traffic calls
+// it.
+func (v *VM) unreachable(name sassafrastray.VMName) {
+	v.post(func(now time.Time) { v.stepPlaceProbe(name, false, now) })
+}
+
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
+// outcome names the outcome of a call for metrics.
+func outcome(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, sassafrastray.ErrConflict):
+		return "conflict"
+	case errors.Is(err, sassafrastray.ErrNotFound):
+		return "absent"
+	case errors.Is(err, sassafrastray.ErrUnknown):
+		return "unknown"
+	}
+	return "unavailable"
+}
--- /dev/null
+++ b/internal/fleet/vm/config.go
@@ -0,0 +1,273 @@
+package vm
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafrastray"
+	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/platform/key"
+	"sassafrastray/internal/traffic/route"
+)
+
+const (
+	// watchWait is how long the store holds a watch without news. The end of
+	// each wait confirms that the configuration is the newest.
+	watchWait = 3 * time.Second
+
+	// watchers is how many VMs of a failure domain watch the store. The
+	// others learn from them.
+	watchers = 2
+
+	// kept is how many configurations a VM remembers, to make differences
+	// for VMs that are a few behind.
+	kept = 4
+
+	backoffLeast = 100 * time.Millisecond
+	backoffMost  = 5 * time.Second
+)
+
+type (
+	// configuration is what the VM knows of the operators' configuration.
+	configuration struct {
+		current *sassafrastray.Config
+		head    config.Head
+		chunks  map[config.Digest][]byte
+		// past are the configurations before current, the newest last.
+		past []*sassafrastray.Config
+		// confirmed is when current was last known to be the newest.
+		confirmed time.Time
+		routes    *route.Table
+		keys      *key.Table
+	}
+
+	// transfer is a configuration on its way to another VM: as a difference
+	// if the other has one of the sender's past ones, or else whole.
+	transfer struct {
+		Difference *config.Difference       `json:"difference,omitempty"`
+		Head       *config.Head             `json:"head,omitempty"`
+		Chunks     map[config.Digest][]byte `json:"chunks,omitempty"`
+	}
+
+	// arrival is a configuration that has been fetched and checked.
+	arrival struct {
+		config *sassafrastray.Config
+		head   config.Head
+		chunks map[config.Digest][]byte
+	}
+)
+
+// watchConfig follows the head in the store until the VM stops. Only the
+// watchers of a failure domain do; the others wait and look again whether
+// they have become one.
+func (v *VM) watchConfig() {
+	defer v.loops.Done()
+	after, wait := int64(0), backoffLeast
+	for v.ctx.Err() == nil {
+		if !v.watching() {
+			v.rest(watchWait)
+			continue
+		}
+		asked := v.clock.Now()
+		objects, revision, err := v.watch(config.HeadKey, after)
+		if err != nil {
+			v.metrics.store.WithLabelValues("watch", outcome(err)).Inc()
+			v.rest(wait)
+			wait = min(2*wait, backoffMost)
+			continue
+		}
+		wait = backoffLeast
+		v.metrics.store.WithLabelValues("watch", "ok").Inc()
+		ok := true
+		for _, o := range objects {
+			ok = ok && v.fetch(o)
+		}
+		if !ok {
+			// The head is read again from the same revision.
+			v.rest(wait)
+			continue
+		}
+		after = revision
+		if len(objects) == 0 {
+			// The store had nothing newer when it began to wait, at least.
+			v.post(func(time.Time) { v.confirm(asked) })
+		}
+	}
+}
+
+func (v *VM) watch(prefix string, after int64) ([]sassafrastray.Object, int64, error) {
+	ctx, cancel := context.WithTimeout(v.ctx, watchWait+storeTimeout)
+	defer cancel()
+	return v.platform.Watch(ctx, prefix, after, watchWait)
+}
+
+// watching asks the control goroutine whether this VM is one of its failure
+// domain's watchers.
+func (v *VM) watching() bool {
+	answer := make(chan bool, 1)
+	if !v.post(func(now time.Time) { answer <- v.members.Rank(now) < watchers }) {
+		return false
+	}
+	select {
+	case w := <-answer:
+		return w
+	case <-v.ctx.Done():
+		return false
+	}
+}
+
+// rest waits for a random time between d/2 and d, so that VMs which lost the
+// store together don't come back together.
+func (v *VM) rest(d time.Duration) {
+	t := time.NewTimer(jitter(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-v.ctx.Done():
+	}
+}
+
+// fetch assembles the configuration of a head and hands it to the control
+// goroutine.
+func (v *VM) fetch(o sassafrastray.Object) bool {
+	if o.Deleted {
+		v.log.Error("the configuration's head was deleted; the VM keeps its own", "key", o.Key)
+		return true
+	}
+	h, err := config.ParseHead(o.Value)
+	if err != nil {
+		v.log.Error("unreadable head of the configuration; the VM keeps its own", "error", err)
+		return true
+	}
+	chunks := make(map[config.Digest][]byte)
+	c, err := config.Assemble(h, func(d config.Digest) ([]byte, error) {
+		ctx, cancel := context.WithTimeout(v.ctx, storeTimeout)
+		defer cancel()
+		o, err := v.platform.Get(ctx, d.Key())
+		chunks[d] = o.Value
+		return o.Value, err
+	})
+	if err != nil {
+		v.log.Warn("configuration not assembled", "number", h.Number, "error", err)
+		return false
+	}
+	asked := v.clock.Now()
+	return v.post(func(now time.Time) {
+		v.adopt(arrival{config: c, head: h, chunks: chunks}, "store", now)
+		v.confirm(asked)
+	})
+}
+
+// confirm notes that the configuration was the newest at the given time.
+func (v *VM) confirm(at time.Time) {
+	if v.conf.current != nil && at.After(v.conf.confirmed) {
+		v.conf.confirmed = at
+	}
+}
+
+// adopt puts a configuration in force, if it is newer than the one in force.
+func (v *VM) adopt(a arrival, source string, now time.Time) {
+	c := a.config
+	if old := v.conf.current; old != nil {
+		if c.Number <= old.Number {
+			return
+		}
+		v.conf.past = append(v.conf.past, old)
+		if len(v.conf.past) > kept {
+			v.conf.past = v.conf.past[1:]
+		}
+	}
+	v.conf.current, v.conf.head, v.conf.chunks = c, a.head, a.chunks
+	v.conf.routes, v.conf.keys = route.New(c), key.NewTable(c)
+	v.metrics.config.Set(float64(c.Number))
+	v.log.Info("configuration in force", "number", c.Number, "publish", c.Publish, "source", source)
+	v.configure(now)
+}
+
+// Config returns the configuration for a VM that has the given stamp, or
+// false if it is not behind.
+func (v *VM) Config(have config.Stamp) ([]byte, bool) {
+	answer := make(chan *transfer, 1)
+	if !v.post(func(time.Time) { answer <- v.transfer(have) }) {
+		return nil, false
+	}
+	select {
+	case t := <-answer:
+		if t == nil {
+			return nil, false
+		}
+		b, err := json.Marshal(t)
+		if err != nil {
+			panic("vm: a configuration can't be encoded: " + err.Error())
+		}
+		return b, true
+	case <-v.ctx.Done():
+		return nil, false
+	}
+}
+
+func (v *VM) transfer(have config.Stamp) *transfer {
+	c := v.conf.current
+	if c == nil || c.Number <= have.Number {
+		return nil
+	}
+	for _, p := range v.conf.past {
+		if p.Number == have.Number && config.StampOf(p) == have {
+			d := config.Diff(p, c)
+			return &transfer{Difference: &d}
+		}
+	}
+	return &transfer{Head: &v.conf.head, Chunks: v.conf.chunks}
+}
+
+// pull asks another VM for its newer configuration.
+func (v *VM) pull(from sassafrastray.VM) {
+	if v.pulling {
+		return
+	}
+	base := v.conf.current
+	v.pulling = v.spawn(func() {
+		a, err := v.pulled(from, base)
+		v.post(func(now time.Time) {
+			v.pulling = false
+			if err != nil {
+				v.log.Warn("configuration not pulled", "from", from.Name, "error", err)
+				return
+			}
+			if a != nil {
+				v.adopt(*a, string(from.Name), now)
+			}
+		})
+	})
+}
+
+func (v *VM) pulled(from sassafrastray.VM, base *sassafrastray.Config) (*arrival, error) {
+	var have config.Stamp
+	if base != nil {
+		have = config.StampOf(base)
+	}
+	b, err := v.client.Config(from, have, storeTimeout)
+	if err != nil || b == nil {
+		return nil, err
+	}
+	var t transfer
+	if err := json.Unmarshal(b, &t); err != nil {
+		return nil, errors.Wrap(err, "decode configuration")
+	}
+	switch {
+	case t.Difference != nil && base != nil:
+		c, err := config.Apply(base, *t.Difference)
+		if err != nil {
+			return nil, err
+		}
+		head, chunks, err := config.Split(c)
+		return &arrival{config: c, head: head, chunks: chunks}, err
+	case t.Head != nil:
+		c, err := config.Assemble(*t.Head, func(d config.Digest) ([]byte, error) { return t.Chunks[d], nil })
+		return &arrival{config: c, head: *t.Head, chunks: t.Chunks}, err
+	}
+	return nil, errors.New("empty transfer")
+}
--- /dev/null
+++ b/internal/fleet/vm/publish.go
@@ -0,0 +1,109 @@
+package vm
+
+import (
+	"time"
+
+	"sassafrastray"
+	"sassafrastray/internal/limit/place"
+	"sassafrastray/internal/limit/quota"
+	"sassafrastray/internal/rollout/evidence"
+	"sassafrastray/internal/traffic/entry"
+	"sassafrastray/internal/traffic/keeper"
+)
+
+// configure tells all parts about the configuration in force.
+func (v *VM) configure(now time.Time) {
+	c := v.conf.current
+	v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) {
+		k.Configure(c, now)
+		return nil, nil
+	})
+	ls := limits(c)
+	v.quotas.do(func(b *quota.Book, now time.Time) { b.Configure(ls, c.Fleet.Domains, now) })
+	v.samples.do(func(l *evidence.Ledger, now time.Time) { l.Configure(c.Services, now) })
+	v.mover.Configure(c.Number, c.Services, now)
+	places := 0
+	for _, d := range c.Fleet.Domains {
+		if d.Name == v.self.Domain {
+			places = d.Places
+		}
+	}
+	if places == 0 {
+		v.log.Error("the configuration does not know this VM's failure domain", "domain", v.self.Domain)
+	}
+	v.stepPlace(place.Places{Count: places}, now)
+	if v.faults != nil && v.set.Faults.Delays {
+		v.faults.Delay(delays(c))
+	}
+	v.pacer.Configure(c.Fleet.Links, c.Fleet.Domains)
+	v.publish(now)
+}
+
+// delays returns how long a message travels between failure domains of
+// different regions, by the configured links.
+func delays(c *sassafrastray.Config) map[[2]sassafrastray.DomainName]time.Duration {
+	out := make(map[[2]sassafrastray.DomainName]time.Duration)
+	for _, a := range c.Fleet.Domains {
+		for _, b := range c.Fleet.Domains {
+			if l := c.Link(a.Region, b.Region); l != nil {
+				out[[2]sassafrastray.DomainName{a.Name, b.Name}] = l.Delay
+			}
+		}
+	}
+	return out
+}
+
+// publish gives traffic a new snapshot of the control goroutine's state.
+func (v *VM) publish(now time.Time) {
+	c := v.conf.current
+	if c == nil {
+		return
+	}
+	view := v.members.View(now)
+	vms := make(map[sassafrastray.VMName]sassafrastray.VM, len(view))
+	live := make([]keeper.Member, 0, len(view)+1)
+	seen := make([]seenVM, 0, len(view)+1)
+	for _, m := range view {
+		region := c.RegionOf(m.VM.Domain)
+		seen = append(seen, seenVM{VM: m.VM, Region: region, Weight: v.weight(m.VM.Name), Suspect: m.Suspect})
+		if m.Suspect {
+			continue
+		}
+		vms[m.VM.Name] = m.VM
+		if m.VM.State == sassafrastray.Live {
+			live = append(live, keeper.Member{VM: m.VM.Name, Domain: m.VM.Domain, Region: region})
+		}
+	}
+	self := v.self
+	self.State = v.state
+	region := c.RegionOf(self.Domain)
+	seen = append(seen, seenVM{VM: self, Region: region, Weight: v.weight(self.Name)})
+	if v.state == sassafrastray.Live {
+		live = append(live, keeper.Member{VM: self.Name, Domain: self.Domain, Region: region})
+	}
+	v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) {
+		k.View(live, now)
+		return nil, nil
+	})
+	v.metrics.members.Set(float64(len(live)))
+	v.handler.Update(&entry.Snapshot{
+		Config: c, Routes: v.conf.routes, Keys: v.conf.keys,
+		Lookup: v.lookups(seen),
+		Choice: v.choose(view, now),
+		Splits: v.mover.Table(), VMs: vms, State: v.state, Confirmed: v.conf.confirmed,
+	})
+}
+
+// weight is a VM's share of the callers among its neighbours.
+func (v *VM) weight(sassafrastray.VMName) int { return 1 }
+
+// loads returns the loads of all live VMs, this one's included.
+func (v *VM) loads(now time.Time) []keeper.Load {
+	out := v.gate.Load()
+	for _, m := range v.members.View(now) {
+		if h := v.beats[m.VM.Name]; h != nil && !m.Suspect {
+			out = append(out, h.Loads...)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/vm/shared.go
@@ -0,0 +1,62 @@
+package vm
+
+import (
+	"sync"
+	"time"
+
+	"sassafrastray"
+	"sassafrastray/internal/limit/quota"
+	"sassafrastray/internal/rollout/evidence"
+)
+
+type (
+	// book lets traffic and the control goroutine share the VM's quotas.
+	book struct {
+		clock sassafrastray.Clock
+		mu    sync.Mutex
+		book  *quota.Book
+	}
+
+	// ledger lets traffic and the control goroutine share the evidence on
+	// versions.
+	ledger struct {
+		clock  sassafrastray.Clock
+		mu     sync.Mutex
+		ledger *evidence.Ledger
+	}
+)
+
+// Take takes n tokens of the limit called key.
+func (b *book) Take(key string, n float64, now time.Time) quota.Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.book.Take(key, n, now)
+}
+
+// Refund gives back tokens of a request that was not dispatched.
+func (b *book) Refund(key string, n float64, s quota.Stamp, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.book.Refund(key, n, s, now)
+}
+
+func (b *book) do(f func(b *quota.Book, now time.Time)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f(b.book, b.clock.Now())
+}
+
+// Add counts how a request ended on a version.
+func (l *ledger) Add(service sassafrastray.ServiceName, version sassafrastray.VersionName,
+	route sassafrastray.RouteName, backend sassafrastray.BackendName, s evidence.Sample,
+) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.Add(service, version, route, backend, s, l.clock.Now())
+}
+
+func (l *ledger) do(f func(l *evidence.Ledger, now time.Time)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l.ledger, l.clock.Now())
+}
--- /dev/null
+++ b/internal/fleet/vm/status.go
@@ -0,0 +1,216 @@
+package vm
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"sassafrastray"
+	"sassafrastray/internal/limit/quota"
+	"sassafrastray/internal/rollout/move"
+	"sassafrastray/internal/traffic/keeper"
+)
+
+const namespace = "sassafrastray"
+
+type (
+	// Status is what a VM tells operators.
+	Status struct {
+		VM     sassafrastray.VMName `json:"vm"`
+		Config int64                `json:"config"`
+		// VMs are all VMs that this one knows, itself included.
+		VMs    []Fellow      `json:"vms"`
+		Moves  []move.Report `json:"moves"`
+		Place  string        `json:"place"`
+		Quotas []quota.Share `json:"quotas"`
+		Loads  []keeper.Load `json:"loads"`
+	}
+
+	// Fellow is one VM in a Status.
+	Fellow struct {
+		Name   sassafrastray.VMName     `json:"name"`
+		Domain sassafrastray.DomainName `json:"domain"`
+		// Config is the configuration in force there, 0 if unknown.
+		Config int64  `json:"config"`
+		State  string `json:"state"`
+		// Age is the time since the VM was last heard of, and Confirmed the
+		// time since its configuration was known to be the newest, both in
+		// seconds; -1 means never.
+		Age       float64 `json:"age"`
+		Confirmed float64 `json:"confirmed"`
+	}
+
+	// cutRequest is the body of a request to cut failure domains off.
+	cutRequest struct {
+		Domains []sassafrastray.DomainName `json:"domains"`
+	}
+
+	metrics struct {
+		store    *prometheus.CounterVec
+		overflow prometheus.Counter
+		config   prometheus.Gauge
+		members  prometheus.Gauge
+		share    *prometheus.GaugeVec
+	}
+)
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_calls_total", Help: "Calls to the platform, by kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		overflow: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "control_overflows_total", Help: "Control calls not made because too many were under way.",
+		}),
+		config: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "config_number", Help: "Number of the configuration in force.",
+		}),
+		members: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "live_vms", Help: "Live VMs in this VM's view, itself included.",
+		}),
+		share: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "move_share_ratio", Help: "Share of the new version on this VM.",
+		}, []string{"service"}),
+	}
+	r.MustRegister(m.store, m.overflow, m.config, m.members, m.share)
+	return m
+}
+
+// operations answers operators: metrics, liveness, readiness, status, and the
+// faults of experiments where the settings allow them.
+func (v *VM) operations() fasthttp.RequestHandler {
+	prom := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{}))
+	return func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/metrics":
+			prom(ctx)
+		case "/live":
+			v.live(ctx)
+		case "/ready":
+			v.ready(ctx)
+		case "/status":
+			v.status(ctx)
+		case "/faults/cut":
+			v.cut(ctx)
+		default:
+			ctx.Error("unknown path", fasthttp.StatusNotFound)
+		}
+	}
+}
+
+// live answers whether the control goroutine still works.
+func (v *VM) live(ctx *fasthttp.RequestCtx) {
+	if _, ok := v.report(); !ok {
+		ctx.Error("the control loop does not answer", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("live\n")
+}
+
+// ready answers whether callers may be sent here.
+func (v *VM) ready(ctx *fasthttp.RequestCtx) {
+	s, ok := v.report()
+	switch {
+	case !ok:
+		ctx.Error("the control loop does not answer", fasthttp.StatusServiceUnavailable)
+	case s.Config == 0:
+		ctx.Error("no configuration yet", fasthttp.StatusServiceUnavailable)
+	case s.VMs[0].State == string(sassafrastray.Leaving):
+		ctx.Error("leaving", fasthttp.StatusServiceUnavailable)
+	default:
+		ctx.SetBodyString("ready\n")
+	}
+}
+
+func (v *VM) status(ctx *fasthttp.RequestCtx) {
+	s, ok := v.report()
+	if !ok {
+		ctx.Error("the control loop does not answer", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	b, err := json.Marshal(s)
+	if err != nil {
+		panic("vm: a status can't be encoded: " + err.Error())
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// report asks the control goroutine for the VM's status.
+func (v *VM) report() (*Status, bool) {
+	answer := make(chan *Status, 1)
+	if !v.post(func(now time.Time) { answer <- v.statusNow(now) }) {
+		return nil, false
+	}
+	t := time.NewTimer(callTimeout)
+	defer t.Stop()
+	select {
+	case s := <-answer:
+		return s, true
+	case <-t.C:
+		return nil, false
+	}
+}
+
+func (v *VM) statusNow(now time.Time) *Status {
+	s := &Status{VM: v.self.Name, Place: string(v.place.State()), Moves: v.mover.Status(now)}
+	own := Fellow{Name: v.self.Name, Domain: v.self.Domain, State: string(v.state), Confirmed: -1}
+	if c := v.conf.current; c != nil {
+		s.Config, own.Config = c.Number, c.Number
+		own.Confirmed = now.Sub(v.conf.confirmed).Seconds()
+	}
+	if p := v.place.Place(); p != nil {
+		s.Place = p.String()
+	}
+	s.VMs = append(s.VMs, own)
+	s.VMs = append(s.VMs, v.fellows(now)...)
+	v.quotas.do(func(b *quota.Book, _ time.Time) { s.Quotas = b.Status() })
+	s.Loads = v.gate.Load()
+	return s
+}
+
+// fellows lists the other VMs, those that are silent included, so that
+// operators see who may not have a change yet.
+func (v *VM) fellows(now time.Time) []Fellow {
+	var out []Fellow
+	heard := make(map[sassafrastray.VMName]bool)
+	for _, m := range v.members.View(now) {
+		heard[m.VM.Name] = true
+		f := Fellow{
+			Name: m.VM.Name, Domain: m.VM.Domain, Config: m.Config, State: string(m.VM.State),
+			Age: m.Age.Seconds(), Confirmed: -1,
+		}
+		if m.Suspect {
+			f.State = "suspect"
+		}
+		if h := v.beats[m.VM.Name]; h != nil && h.Config > 0 {
+			f.Confirmed = (h.Age() + m.Age).Seconds()
+		}
+		out = append(out, f)
+	}
+	for _, vm := range v.members.Known() {
+		if !heard[vm.Name] {
+			out = append(out, Fellow{Name: vm.Name, Domain: vm.Domain, State: "silent", Age: -1, Confirmed: -1})
+		}
+	}
+	return out
+}
+
+// cut separates failure domains, where the settings allow faults.
+func (v *VM) cut(ctx *fasthttp.RequestCtx) {
+	if v.faults == nil {
+		ctx.Error("the settings don't allow faults", fasthttp.StatusForbidden)
+		return
+	}
+	var r cutRequest
+	if err := json.Unmarshal(ctx.PostBody(), &r); err != nil {
+		ctx.Error("body: "+err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	v.faults.Cut(r.Domains)
+	v.log.Warn("fault: failure domains cut off", "domains", r.Domains)
+}
--- /dev/null
+++ b/internal/fleet/vm/vm.go
@@ -0,0 +1,239 @@
+// Package vm runs one entry VM. A single control goroutine owns the VM's view
+// of the fleet, its configuration, its place and the moves; traffic reads an
+// immutable snapshot that the control goroutine replaces. Everything that
+// waits for the network runs in a bounded pool of goroutines and comes back
+// to the control goroutine as a task.
+package vm
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sassafrastray"
+	"sassafrastray/internal/fleet/member"
+	"sassafrastray/internal/fleet/peer"
+	"sassafrastray/internal/limit/pace"
+	"sassafrastray/internal/limit/place"
+	"sassafrastray/internal/limit/quota"
+	"sassafrastray/internal/platform/settings"
+	"sassafrastray/internal/rollout/evidence"
+	"sassafrastray/internal/rollout/move"
+	"sassafrastray/internal/traffic/choice"
+	"sassafrastray/internal/traffic/entry"
+	"sassafrastray/internal/traffic/keeper"
+	"sassafrastray/internal/traffic/retry"
+	"sassafrastray/internal/traffic/upstream"
+)
+
+const (
+	tickEvery  = 100 * time.Millisecond
+	beatEvery  = 500 * time.Millisecond
+	listEvery  = 2 * time.Second
+	probeEvery = time.Second
+	sweepEvery = 10 * time.Second
+
+	// callTimeout bounds a call to another VM, storeTimeout one to the store.
+	callTimeout  = time.Second
+	storeTimeout = 3 * time.Second
+
+	// workers bounds the calls to other VMs, the store and backend servers
+	// that run at once.
+	workers = 256
+
+	// taskQueue bounds the tasks that wait for the control goroutine.
+	taskQueue = 1024
+)
+
+type (
+	// task is a step that runs on the control goroutine.
+	task func(now time.Time)
+
+	// Platform is what a VM needs of the platform.
+	Platform interface {
+		sassafrastray.Store
+		sassafrastray.VMList
+	}
+
+	// VM is one entry VM.
+	VM struct {
+		set      *settings.Settings
+		self     sassafrastray.VM
+		inc      sassafrastray.Incarnation
+		clock    sassafrastray.Clock
+		log      *slog.Logger
+		platform Platform
+		registry *prometheus.Registry
+		metrics  *metrics
+
+		pool    *upstream.Pool
+		probes  *upstream.Pool
+		client  *peer.Client
+		faults  *peer.Faults
+		handler *entry.Handler
+		gate    *entry.Gate
+		hangups *entry.Hangups
+		picks   atomic.Pointer[choice.Snapshot]
+		pacer   *pace.Pacer
+		quotas  *book
+		samples *ledger
+		work    *ants.Pool
+		tasks   chan task
+		ctx     context.Context
+		stop    context.CancelFunc
+		loops   sync.WaitGroup
+
+		// The control goroutine owns what follows.
+		rng      *rand.Rand
+		state    sassafrastray.VMState
+		members  *member.Table
+		place    *place.Machine
+		mover    *move.Mover
+		conf     configuration
+		sequence uint64
+		beats    map[sassafrastray.VMName]*peer.Heartbeat
+		due      map[string]time.Time
+		pulling  bool
+		probing  map[sassafrastray.BackendName]bool
+	}
+)
+
+// New returns a VM that does nothing before Run.
+func New(set *settings.Settings, platform Platform, clock sassafrastray.Clock, log *slog.Logger) (*VM, error) {
+	now := clock.Now()
+	inc := sassafrastray.Incarnation(now.UnixNano())
+	self := sassafrastray.VM{Name: set.Name, Domain: set.Domain, Callers: set.Callers, Inner: set.Inner, State: sassafrastray.Live}
+	work, err := ants.NewPool(workers, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, errors.Wrap(err, "vm: worker pool")
+	}
+	v := &VM{
+		set: set, self: self, inc: inc, clock: clock, log: log, platform: platform,
+		registry: prometheus.NewRegistry(),
+		work:     work, tasks: make(chan task, taskQueue),
+		state:   sassafrastray.Live,
+		rng:     seeded(inc, 0),
+		beats:   make(map[sassafrastray.VMName]*peer.Heartbeat),
+		due:     make(map[string]time.Time),
+		probing: make(map[sassafrastray.BackendName]bool),
+	}
+	v.ctx, v.stop = context.WithCancel(context.Background())
+	v.metrics = newMetrics(v.registry)
+	v.members = member.New(self, member.Defaults())
+	v.place = place.New(self.Name, inc, self.Domain, seeded(inc, 1), place.DefaultOptions())
+	v.mover = move.New(self.Name, inc, seeded(inc, 2), move.Options{})
+	v.quotas = &book{clock: clock, book: quota.New(self.Name, inc, seeded(inc, 3), quota.DefaultOptions())}
+	v.samples = &ledger{clock: clock, ledger: evidence.New(self.Name, inc, evidence.Options{})}
+	v.gate = entry.NewGate(clock, keeper.New(self.Name, seeded(inc, 4), keeper.Defaults()))
+	v.build()
+	return v, nil
+}
+
+// build makes the parts that carry traffic.
+func (v *VM) build() {
+	opt := upstream.Options{Dial: callTimeout, Idle: 30 * time.Second, MaxIdle: 256}
+	v.pool = upstream.New(v.clock, opt)
+	v.probes = upstream.New(v.clock, opt)
+	if v.set.Faults.Allowed {
+		v.faults = peer.NewFaults()
+	}
+	v.hangups = entry.NewHangups()
+	v.pacer = pace.New(v.quotas, v.clock, pause)
+	v.client = peer.New(v.self, peer.NewToken([]byte(v.set.Secret)), v.pool, v.clock, v.faults)
+	v.handler = entry.New(entry.Deps{
+		Self: v.self, Clock: v.clock, Log: v.log, Pool: v.pool, Peers: v.client, Faults: v.faults,
+		Gate: v.gate, Quotas: v.quotas, Samples: v.samples, Hangups: v.hangups, Pacer: v.pacer,
+		Metrics: entry.NewMetrics(v.registry), Retry: entry.NewRetries(retry.New(seeded(v.inc, 5), retry.Defaults())),
+		Decision: v.set.Log.Decisions, Unreachable: v.unreachable,
+	}, v.inc)
+}
+
+// seeded returns a random source that differs between incarnations and parts.
+func seeded(inc sassafrastray.Incarnation, part uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(inc), part))
+}
+
+// post hands a task to the control goroutine. It reports false if the VM is
+// stopping.
+func (v *VM) post(t task) bool {
+	select {
+	case v.tasks <- t:
+		return true
+	case <-v.ctx.Done():
+		return false
+	}
+}
+
+// spawn runs f in the worker pool. A full pool means that much is stuck
+// already; then f does not run, and the next round tries again.
+func (v *VM) spawn(f func()) bool {
+	if err := v.work.Submit(f); err != nil {
+		v.metrics.overflow.Inc()
+		return false
+	}
+	return true
+}
+
+// control runs tasks and ticks until the VM stops.
+func (v *VM) control() {
+	defer v.loops.Done()
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-v.ctx.Done():
+			return
+		case f := <-v.tasks:
+			f(v.clock.Now())
+		case <-t.C:
+			v.tick(v.clock.Now())
+		}
+	}
+}
+
+// every reports whether the period has passed since it last did so for name.
+// The first time comes after a random part of the period, so that VMs which
+// started together spread out.
+func (v *VM) every(name string, period time.Duration, now time.Time) bool {
+	due, ok := v.due[name]
+	if !ok {
+		v.due[name] = now.Add(time.Duration(v.rng.Int64N(int64(period))))
+		return false
+	}
+	if now.Before(due) {
+		return false
+	}
+	v.due[name] = now.Add(period)
+	return true
+}
+
+// tick does what time brings.
+func (v *VM) tick(now time.Time) {
+	v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) { return k.Tick(now) })
+	if v.every("list", listEvery, now) {
+		v.readList()
+	}
+	to := v.targets(now)
+	if v.every("beat", beatEvery, now) {
+		v.beat(to, now)
+	}
+	if v.every("probe", probeEvery, now) {
+		v.probe(now)
+	}
+	if v.every("sweep", sweepEvery, now) {
+		v.pool.Sweep()
+		v.probes.Sweep()
+	}
+	v.stepPlace(place.Tick{}, now)
+	v.lend(now)
+	v.judge(now)
+	v.stepMoves(move.Tick{}, now)
+	v.publish(now)
+}
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -55,6 +55,15 @@
 		Log    Log
 		Timing Timing
 		Limits Limits
+		Faults Faults
+	}
+
+	// Faults are for experiments and stay off in service.
+	Faults struct {
+		// Allowed lets operators cut failure domains off.
+		Allowed bool
+		// Delays makes messages between regions as late as their link says.
+		Delays bool
 	}
 
 	// Log is what the process writes to its log, and how.
@@ -118,7 +127,7 @@
 		return nil
 	}
 	f := n.Fields("name", "domain", "callers", "inner", "operations", "store",
-		"secret", "seeds", "log", "timing", "limits")
+		"secret", "seeds", "log", "timing", "limits", "faults")
 	s := &Settings{
 		Name:       sassafrastray.VMName(f.Need("name").Name()),
 		Domain:     sassafrastray.DomainName(f.Need("domain").Name()),
@@ -130,6 +139,7 @@
 		Log:        readLog(f.Get("log")),
 		Timing:     readTiming(f.Get("timing")),
 		Limits:     readLimits(f.Get("limits")),
+		Faults:     readFaults(f.Get("faults")),
 	}
 	s.Seeds = readSeeds(f.Get("seeds"), s.Inner)
 	checkClashes(f, s)
@@ -235,6 +245,15 @@
 	}
 }
 
+func readFaults(n document.Node) Faults {
+	f := n.Fields("allowed", "delays")
+	x := Faults{Allowed: f.Get("allowed").Bool(false), Delays: f.Get("delays").Bool(false)}
+	if x.Delays && !x.Allowed {
+		f.Get("delays").Problem("needs allowed: true")
+	}
+	return x
+}
+
 // checkClashes reports listeners that can't be open at the same time, and a
 // store that is one of them.
 func checkClashes(f document.Fields, s *Settings) {
--- /dev/null
+++ b/internal/traffic/entry/forward.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+	"sassafrastray/internal/fleet/peer"
+	"sassafrastray/internal/traffic/upstream"
+)
+
+const (
+	// grace is how much longer a VM waits for another VM's answer than the
+	// other waits for the backend server, so that the truth about a late
+	// request still arrives.
+	grace = 250 * time.Millisecond
+
+	// unreachableAfter is how long opening a connection to a VM beyond a
+	// cut takes.
+	unreachableAfter = time.Second
+)
+
+// forward hands a request to the VM that keeps the chosen backend servers. It
+// returns nil if the answer is under way in the request's context.
+func (h *Handler) forward(in *inbound, to sassafrastray.VM) *refusal {
+	if h.Faults.Parted(h.Self.Domain, to.Domain) {
+		in.sleep(min(unreachableAfter, in.deadline.Sub(h.Clock.Now())))
+		h.Unreachable(to.Name)
+		return notRun(sassafrastray.ReasonBackend, "VM unreachable")
+	}
+	if r := h.paceHead(in, to); r != nil {
+		return r
+	}
+	in.sleep(h.Faults.Wait(h.Self.Domain, to.Domain))
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	h.hop(in, req)
+	call := upstream.Call{Address: to.Inner, Proved: !in.route.Idempotent, Deadline: in.deadline.Add(grace), Progress: progress}
+	in.call(&call, req)
+	if call.Body != nil {
+		call.Body = h.paceBody(in, to, call.Body)
+	}
+	x := h.Pool.Start(call)
+	in.attach(x)
+	out := x.Do(req, resp)
+	fasthttp.ReleaseRequest(req)
+	in.sleep(h.Faults.Wait(to.Domain, h.Self.Domain))
+	if out.Failure != upstream.None {
+		fasthttp.ReleaseResponse(resp)
+		if out.Failure == upstream.Dial {
+			h.Unreachable(to.Name)
+		}
+		return h.failed(in, out)
+	}
+	in.tried = sassafrastray.BackendName(resp.Header.Peek(backendHeader))
+	if reason := resp.Header.Peek(reasonHeader); len(reason) > 0 {
+		return relayed(resp)
+	}
+	if len(resp.Header.Peek(resultHeader)) == 0 {
+		// Only the inner protocol's own errors have no result, and it gives
+		// those before it takes a request in.
+		drop(resp)
+		return notRun(sassafrastray.ReasonBackend, "VM refused the message")
+	}
+	h.deliver(in, resp, func(bool) {})
+	return nil
+}
+
+// hop makes the request that the other VM sees.
+func (h *Handler) hop(in *inbound, req *fasthttp.Request) {
+	in.ctx.Request.Header.CopyTo(&req.Header)
+	cleanHeader(&req.Header)
+	d := &req.Header
+	d.SetRequestURI(peer.ForwardPath)
+	h.Peers.Sign(d)
+	d.Set(idHeader, in.id)
+	d.Set(peer.PathHeader, in.path)
+	d.Set(peer.ServiceHeader, string(in.service.Name))
+	d.Set(peer.RouteHeader, string(in.route.Name))
+	d.Set(peer.VersionHeader, string(in.version))
+	d.Set(peer.TeamHeader, string(in.team))
+	d.Set(peer.KeyHeader, string(in.digest))
+	setInt(d, peer.TimeoutHeader, in.left(h.Clock.Now()))
+	if len(in.avoid) > 0 {
+		names := make([]string, len(in.avoid))
+		for i, b := range in.avoid {
+			names[i] = string(b)
+		}
+		d.Set(peer.AvoidHeader, strings.Join(names, ","))
+	}
+}
+
+// relayed reads a refusal that another VM gave.
+func relayed(resp *fasthttp.Response) *refusal {
+	r := &refusal{
+		reason: sassafrastray.Reason(resp.Header.Peek(reasonHeader)),
+		result: sassafrastray.Result(resp.Header.Peek(resultHeader)),
+	}
+	if s, err := strconv.Atoi(string(resp.Header.Peek(fasthttp.HeaderRetryAfter))); err == nil {
+		r.wait = time.Duration(s) * time.Second
+	}
+	if statuses[r.reason] == 0 || r.result != sassafrastray.NotRun {
+		r.result = sassafrastray.Unknown
+	}
+	if statuses[r.reason] == 0 {
+		r.reason = sassafrastray.ReasonBroken
+	}
+	var p problem
+	if s := resp.BodyStream(); s != nil {
+		if b, err := io.ReadAll(io.LimitReader(s, replayable)); err == nil && json.Unmarshal(b, &p) == nil {
+			r.detail = p.Detail
+		}
+	}
+	fasthttp.ReleaseResponse(resp)
+	return r
+}
+
+// Forward answers a request that another VM accepted from a caller.
+func (h *Handler) Forward(ctx *fasthttp.RequestCtx) {
+	s := h.snap.Load()
+	h.active.Add(1)
+	in := h.newInbound(ctx)
+	r := h.accept(in, s)
+	if r == nil {
+		if in.watchable() {
+			h.Hangups.add(in, in.conn)
+		}
+		r = h.kept(in)
+	}
+	if r == nil {
+		return
+	}
+	h.refuse(in, r)
+	h.finish(in)
+}
+
+// accept reads what the other VM says about the request.
+func (h *Handler) accept(in *inbound, s *Snapshot) *refusal {
+	d := &in.ctx.Request.Header
+	in.id = string(d.Peek(idHeader))
+	in.origin = sassafrastray.DomainName(d.Peek(peer.DomainHeader))
+	in.path = string(d.Peek(peer.PathHeader))
+	in.version = sassafrastray.VersionName(d.Peek(peer.VersionHeader))
+	in.team = sassafrastray.TeamName(d.Peek(peer.TeamHeader))
+	in.digest = sassafrastray.KeyDigest(d.Peek(peer.KeyHeader))
+	ms, err := strconv.ParseInt(string(d.Peek(peer.TimeoutHeader)), 10, 64)
+	if err != nil {
+		return notRun(sassafrastray.ReasonBackend, "no timeout in a forwarded request")
+	}
+	in.deadline = in.arrived.Add(time.Duration(ms) * time.Millisecond)
+	if avoid := d.Peek(peer.AvoidHeader); len(avoid) > 0 {
+		for n := range strings.SplitSeq(string(avoid), ",") {
+			in.avoid = append(in.avoid, sassafrastray.BackendName(n))
+		}
+	}
+	if s == nil {
+		return notRun(sassafrastray.ReasonBackend, "no configuration yet")
+	}
+	in.service = s.Config.Service(sassafrastray.ServiceName(d.Peek(peer.ServiceHeader)))
+	if in.service == nil {
+		return notRun(sassafrastray.ReasonBackend, "service unknown here")
+	}
+	in.route = in.service.Route(sassafrastray.RouteName(d.Peek(peer.RouteHeader)))
+	if in.route == nil {
+		return notRun(sassafrastray.ReasonBackend, "route unknown here")
+	}
+	if a := in.service.Allowance(in.team); a != nil {
+		in.weight = a.Weight
+	} else if !in.route.Open {
+		return notRun(sassafrastray.ReasonTeam, string(in.team))
+	}
+	return in.setBody(h.Clock.Now)
+}
--- /dev/null
+++ b/internal/traffic/entry/kept.go
@@ -0,0 +1,283 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+	"sassafrastray/internal/limit/quota"
+	"sassafrastray/internal/rollout/evidence"
+	"sassafrastray/internal/traffic/keeper"
+	"sassafrastray/internal/traffic/upstream"
+)
+
+// maxTokenWait is the longest that a request waits for its team's quota in
+// place of a refusal.
+const maxTokenWait = 400 * time.Millisecond
+
+// kept answers a request from a backend server that this VM keeps. It returns
+// nil if the answer is under way in the request's context.
+func (h *Handler) kept(in *inbound) *refusal {
+	giveUp := h.Clock.Now().Add(maxTokenWait)
+	for {
+		if r := h.gone(in); r != nil {
+			return r
+		}
+		stamp, r := h.token(in, giveUp)
+		if r != nil {
+			return r
+		}
+		t := h.Gate.offer(h.ask(in))
+		switch t.outcome.Kind {
+		case keeper.Refused:
+			h.refund(in, stamp)
+			r := notRun(t.outcome.Reason, "")
+			r.wait = t.outcome.Wait
+			return r
+		case keeper.Dispatch:
+			return h.dispatch(in, t, t.outcome.Backend)
+		}
+		// The token counts from the dispatch, so that requests which waited
+		// together don't pass the burst when they leave together.
+		h.refund(in, stamp)
+		backend, r := h.queue(in, t)
+		if r != nil {
+			return r
+		}
+		if h.take(in).OK {
+			return h.dispatch(in, t, backend)
+		}
+		h.Gate.done(t.id, keeper.End{Kind: keeper.NotSent})
+	}
+}
+
+func (h *Handler) ask(in *inbound) keeper.Request {
+	return keeper.Request{
+		Service: in.service.Name, Version: in.version, Team: in.team, Weight: in.weight,
+		Route: in.route.Name, Deadline: in.deadline, Exclude: in.avoid,
+	}
+}
+
+// QuotaKey returns the key of a team's quota at a service.
+func QuotaKey(s sassafrastray.ServiceName, t sassafrastray.TeamName) string {
+	return string(s) + "/" + string(t)
+}
+
+func (h *Handler) take(in *inbound) quota.Verdict {
+	if in.route.Open {
+		return quota.Verdict{OK: true}
+	}
+	return h.Quotas.Take(QuotaKey(in.service.Name, in.team), 1, h.Clock.Now())
+}
+
+func (h *Handler) refund(in *inbound, s quota.Stamp) {
+	if !in.route.Open {
+		h.Quotas.Refund(QuotaKey(in.service.Name, in.team), 1, s, h.Clock.Now())
+	}
+}
+
+// token takes a token of the team's quota, waiting a little for one that is
+// about to come.
+func (h *Handler) token(in *inbound, giveUp time.Time) (quota.Stamp, *refusal) {
+	for {
+		v := h.take(in)
+		if v.OK {
+			return v.Stamp, nil
+		}
+		now := h.Clock.Now()
+		if v.Wait <= 0 || now.Add(v.Wait).After(giveUp) || now.Add(v.Wait).After(in.deadline) {
+			r := notRun(sassafrastray.ReasonQuota, string(in.team))
+			r.wait = max(v.Wait, time.Second)
+			return v.Stamp, r
+		}
+		if !in.sleep(v.Wait) {
+			return v.Stamp, notRun(sassafrastray.ReasonGone, "")
+		}
+	}
+}
+
+// sleep waits, and reports false if the caller hung up meanwhile.
+func (in *inbound) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-in.leave:
+		return false
+	}
+}
+
+// queue waits for a slot.
+func (h *Handler) queue(in *inbound, t ticket) (sassafrastray.BackendName, *refusal) {
+	timer := time.NewTimer(in.deadline.Sub(h.Clock.Now()))
+	defer timer.Stop()
+	select {
+	case turn := <-t.turn:
+		if turn.reason != sassafrastray.ReasonOK {
+			return "", notRun(turn.reason, "")
+		}
+		return turn.backend, nil
+	case <-in.leave:
+		h.Gate.cancel(t)
+		return "", notRun(sassafrastray.ReasonGone, "")
+	case <-timer.C:
+		h.Gate.cancel(t)
+		return "", notRun(sassafrastray.ReasonDeadline, "")
+	}
+}
+
+func (h *Handler) gone(in *inbound) *refusal {
+	if in.isGone() {
+		return notRun(sassafrastray.ReasonGone, "")
+	}
+	return nil
+}
+
+// dispatch sends the request to the backend server whose slot it has.
+func (h *Handler) dispatch(in *inbound, t ticket, name sassafrastray.BackendName) *refusal {
+	s := h.snap.Load()
+	b := backend(s.Config, in.service.Name, name)
+	r := h.recheck(in)
+	if r == nil && b == nil {
+		r = notRun(sassafrastray.ReasonBackend, "the backend server is gone")
+	}
+	if r != nil {
+		h.Gate.done(t.id, keeper.End{Kind: keeper.NotSent})
+		return r
+	}
+	in.tried = name
+	start := h.Clock.Now()
+	if h.Decision {
+		h.Log.Info("placement", "request", in.id, "service", in.service.Name, "route", in.route.Name, "team", in.team,
+			"version", in.version, "backend", name, "waited", start.Sub(in.arrived), "reason", placed(t))
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	h.outbound(in, req)
+	call := upstream.Call{Address: b.Address, Proved: !in.route.Idempotent, Deadline: in.deadline, Progress: progress}
+	in.call(&call, req)
+	x := h.Pool.Start(call)
+	in.attach(x)
+	out := x.Do(req, resp)
+	fasthttp.ReleaseRequest(req)
+	return h.conclude(in, t, b, resp, out, start)
+}
+
+func placed(t ticket) string {
+	if t.outcome.Kind == keeper.Queued {
+		return "queued"
+	}
+	return "free slot"
+}
+
+// outbound makes the request that a backend server sees.
+func (h *Handler) outbound(in *inbound, req *fasthttp.Request) {
+	in.ctx.Request.Header.CopyTo(&req.Header)
+	cleanHeader(&req.Header)
+	req.Header.SetRequestURI(in.path)
+	req.Header.Set(idHeader, in.id)
+	req.Header.Del(teamHeader)
+	if in.team != "" {
+		req.Header.Set(teamHeader, string(in.team))
+	}
+	setInt(&req.Header, timeoutHeader, in.left(h.Clock.Now()))
+}
+
+// conclude frees the slot, at once or when the answer's body has ended, and
+// takes the evidence on the version.
+func (h *Handler) conclude(in *inbound, t ticket, b *sassafrastray.BackendServer, resp *fasthttp.Response, out upstream.Outcome, start time.Time) *refusal {
+	latency := h.Clock.Now().Sub(start)
+	drain := len(resp.Header.Peek(drainHeader)) > 0
+	end := keeper.End{Kind: keeper.OK, Latency: latency, Drain: drain}
+	if out.Failure == upstream.None && len(resp.Header.Peek(shedHeader)) > 0 {
+		// The backend server says itself that it did not run the request.
+		end.Kind = keeper.Shed
+		drop(resp)
+		h.Gate.done(t.id, end)
+		h.Metrics.shed(in)
+		return notRun(sassafrastray.ReasonShed, string(b.Name))
+	}
+	if out.Failure != upstream.None {
+		fasthttp.ReleaseResponse(resp)
+		end.Kind = endKind(out)
+		h.Gate.done(t.id, end)
+		if blames(out.Failure) && out.Sent {
+			h.sample(in, b, evidence.Sample{Latency: latency})
+		}
+		return h.failed(in, out)
+	}
+	ok := resp.StatusCode() < fasthttp.StatusInternalServerError
+	if !ok {
+		end.Kind = keeper.Failed
+	}
+	h.sample(in, b, evidence.Sample{OK: ok, Latency: latency})
+	h.deliver(in, resp, func(whole bool) {
+		if !whole && end.Kind == keeper.OK {
+			end.Kind = keeper.Cancelled
+			if !in.isGone() && !whole {
+				end.Kind = keeper.Failed
+			}
+		}
+		end.Latency = h.Clock.Now().Sub(start)
+		h.Gate.done(t.id, end)
+	})
+	return nil
+}
+
+// failed tells what an exchange without an answer means for its request.
+func (h *Handler) failed(in *inbound, out upstream.Outcome) *refusal {
+	reason := sassafrastray.ReasonBroken
+	switch {
+	case out.Failure == upstream.Dial:
+		reason = sassafrastray.ReasonBackend
+	case in.large != nil && in.large.tooBig:
+		reason = sassafrastray.ReasonBody
+	case out.Failure == upstream.Silent:
+		reason = sassafrastray.ReasonDeadline
+	case out.Failure == upstream.Aborted || out.Failure == upstream.Body:
+		reason = sassafrastray.ReasonGone
+	}
+	detail := ""
+	if out.Err != nil {
+		detail = string(out.Failure)
+		h.Log.Debug("exchange failed", "request", in.id, "failure", out.Failure, "error", out.Err)
+	}
+	if !out.Sent {
+		return notRun(reason, detail)
+	}
+	return unknown(reason, detail)
+}
+
+// blames reports whether a failure says something about the version that was
+// asked. A caller's own doings don't.
+func blames(f upstream.Failure) bool {
+	return f == upstream.Silent || f == upstream.Cut || f == upstream.Malformed || f == upstream.Crossed
+}
+
+func endKind(out upstream.Outcome) keeper.EndKind {
+	switch {
+	case out.Failure == upstream.Aborted || out.Failure == upstream.Body:
+		return keeper.Cancelled
+	case out.Failure == upstream.Silent:
+		return keeper.Timeout
+	}
+	return keeper.Failed
+}
+
+func (h *Handler) sample(in *inbound, b *sassafrastray.BackendServer, s evidence.Sample) {
+	h.Samples.Add(in.service.Name, b.Version, in.route.Name, b.Name, s)
+}
+
+func backend(c *sassafrastray.Config, service sassafrastray.ServiceName, name sassafrastray.BackendName) *sassafrastray.BackendServer {
+	s := c.Service(service)
+	if s == nil {
+		return nil
+	}
+	for i := range s.Backends {
+		if s.Backends[i].Name == name {
+			return &s.Backends[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/entry/metrics.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sassafrastray"
+)
+
+const namespace = "sassafrastray"
+
+// latencyBuckets are the upper bounds of the latency histogram in seconds.
+var latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30}
+
+// Metrics counts what a VM does for callers. All labels take their values
+// from the configuration and from fixed lists, never from callers.
+type Metrics struct {
+	Requests *prometheus.CounterVec
+	Latency  *prometheus.HistogramVec
+	Sheds    *prometheus.CounterVec
+	Retries  *prometheus.CounterVec
+	Bytes    *prometheus.CounterVec
+	Choices  *prometheus.CounterVec
+	Lookups  prometheus.Counter
+}
+
+// NewMetrics returns the metrics, registered at r.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_total", Help: "Requests that ended, by reason.",
+		}, []string{"side", "service", "team", "reason"}),
+		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_duration_seconds", Help: "Time from a request's header to the end of its answer.",
+			Buckets: latencyBuckets,
+		}, []string{"side", "service"}),
+		Sheds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "backend_sheds_total", Help: "Requests that backend servers shed.",
+		}, []string{"service"}),
+		Retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "retries_total", Help: "Further tries of a request.",
+		}, []string{"service"}),
+		Bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "answer_bytes_total", Help: "Bytes of answers' bodies passed on.",
+		}, []string{"service"}),
+		Choices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "choices_total", Help: "Choices of a VM for a request, by reason.",
+		}, []string{"reason"}),
+		Lookups: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "lookups_total", Help: "Look-ups answered.",
+		}),
+	}
+	r.MustRegister(m.Requests, m.Latency, m.Sheds, m.Retries, m.Bytes, m.Choices, m.Lookups)
+	return m
+}
+
+func (m *Metrics) ended(in *inbound, reason sassafrastray.Reason, now time.Time) {
+	side := "callers"
+	if in.origin != "" {
+		side = "inner"
+	}
+	service := string(name(in.service))
+	m.Requests.WithLabelValues(side, service, string(in.team), string(reason)).Inc()
+	m.Latency.WithLabelValues(side, service).Observe(now.Sub(in.arrived).Seconds())
+}
+
+func (m *Metrics) shed(in *inbound) {
+	m.Sheds.WithLabelValues(string(in.service.Name)).Inc()
+}
--- a/internal/traffic/keeper/owner.go
+++ b/internal/traffic/keeper/owner.go
@@ -146,3 +146,14 @@
 		}
 	}
 }
+
+// Kept returns the backend servers that the VM keeps.
+func (k *Keeper) Kept() map[sassafrastray.BackendName]bool {
+	kept := make(map[sassafrastray.BackendName]bool)
+	for _, b := range k.names {
+		if b.kept {
+			kept[b.name] = true
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/traffic/upstream/exchange.go
@@ -0,0 +1,247 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Failures of an exchange. Together with whether bytes left they tell the
+// caller what became of the request.
+const (
+	None      Failure = ""
+	Dial      Failure = "dial"      // no connection could be opened
+	Silent    Failure = "silent"    // nothing was answered before the deadline
+	Cut       Failure = "cut"       // the connection ended before the answer was whole
+	Malformed Failure = "malformed" // the answer is not HTTP, or can't be delimited
+	Crossed   Failure = "crossed"   // the answer belongs to another request
+	Aborted   Failure = "aborted"   // Abort was called
+	Body      Failure = "body"      // the request's own body could not be read
+)
+
+const (
+	// salvage is how long an exchange whose request could not be written
+	// waits for an answer that was sent before the connection broke.
+	salvage = 50 * time.Millisecond
+
+	// idHeader carries the request's id in both directions.
+	idHeader = "Request-Id"
+)
+
+type (
+	// Failure tells what went wrong in an exchange.
+	Failure string
+
+	// Call is one request to one address.
+	Call struct {
+		Address netip.AddrPort
+		// Proved asks for a connection that is new or was just proved alive,
+		// for requests that must not be executed twice.
+		Proved bool
+		// Deadline bounds the exchange up to the last byte of the answer.
+		Deadline time.Time
+		// Progress bounds each wait for a part of a body.
+		Progress time.Duration
+		// Body is the request's body if it is not held by the request
+		// itself, and Size its length in bytes, or -1 if that is unknown.
+		Body io.Reader
+		Size int
+	}
+
+	// Exchange is one request and its answer. It is used once.
+	Exchange struct {
+		pool *Pool
+		call Call
+
+		mu      sync.Mutex
+		conn    *conn
+		aborted bool
+	}
+
+	// Outcome tells how far an exchange got.
+	Outcome struct {
+		Failure Failure
+		// Sent is false only if not one byte of the request can have left.
+		Sent bool
+		// Err is the cause, for logs.
+		Err error
+	}
+
+	// bodyReader remembers why the request's body could not be read, which
+	// says nothing about the connection that it was written to.
+	bodyReader struct {
+		io.Reader
+		err error
+	}
+)
+
+// Start prepares an exchange. Nothing is sent before Do.
+func (p *Pool) Start(call Call) *Exchange { return &Exchange{pool: p, call: call} }
+
+// Abort breaks the exchange off from another goroutine: its connection is
+// closed, which tells the other side that nobody waits for the answer.
+func (e *Exchange) Abort() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.aborted = true
+	if e.conn != nil {
+		e.conn.Close()
+	}
+}
+
+// attach makes the connection known to Abort.
+func (e *Exchange) attach(c *conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conn = c
+	return !e.aborted
+}
+
+func (e *Exchange) isAborted() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.aborted
+}
+
+// Do writes req and reads the answer's header into resp. If the outcome has no
+// failure, resp's body is a stream that must be read to its end or closed; it
+// fails with io.ErrUnexpectedEOF rather than end early. Closing it before its
+// end closes the connection.
+func (e *Exchange) Do(req *fasthttp.Request, resp *fasthttp.Response) Outcome {
+	c, err := e.pool.get(e.call.Address, e.call.Proved, e.call.Deadline)
+	if err != nil {
+		return Outcome{Failure: Dial, Err: err}
+	}
+	if !e.attach(c) {
+		c.Close()
+		return Outcome{Failure: Aborted}
+	}
+	// The answer is read into a response of its own, because the stream that
+	// fasthttp attaches to a response can't be wrapped in place.
+	raw := fasthttp.AcquireResponse()
+	out := e.write(c, req)
+	if out.Failure == None {
+		out = e.read(c, req, raw)
+	} else if out.Failure == Cut && e.salvage(c, req, raw) {
+		out = Outcome{Sent: true}
+	}
+	if out.Failure != None {
+		c.Close()
+		fasthttp.ReleaseResponse(raw)
+		return out
+	}
+	e.stream(c, req, raw, resp)
+	return out
+}
+
+func (e *Exchange) write(c *conn, req *fasthttp.Request) Outcome {
+	var body *bodyReader
+	if e.call.Body != nil {
+		body = &bodyReader{Reader: &requestBody{r: e.call.Body, c: c, wait: e.call.Progress, end: e.call.Deadline, now: e.pool.clock.Now}}
+		req.SetBodyStream(body, e.call.Size)
+	}
+	c.SetDeadline(e.call.Deadline)
+	err := req.Write(c.w)
+	if err == nil {
+		err = c.w.Flush()
+	}
+	switch {
+	case err == nil:
+		return Outcome{Sent: true}
+	case e.isAborted():
+		return Outcome{Failure: Aborted, Sent: c.wrote, Err: err}
+	case body != nil && body.err != nil && c.writeErr == nil:
+		return Outcome{Failure: Body, Sent: c.wrote, Err: body.err}
+	case os.IsTimeout(err):
+		e.pool.silent(c)
+		return Outcome{Failure: Silent, Sent: c.wrote, Err: err}
+	}
+	return Outcome{Failure: Cut, Sent: c.wrote, Err: err}
+}
+
+// salvage reads an answer from a connection that could not take the whole
+// request. A server that refuses an upload answers without reading it.
+func (e *Exchange) salvage(c *conn, req *fasthttp.Request, resp *fasthttp.Response) bool {
+	e.call.Deadline = e.pool.clock.Now().Add(salvage)
+	out := e.read(c, req, resp)
+	resp.SetConnectionClose()
+	return out.Failure == None
+}
+
+func (e *Exchange) read(c *conn, req *fasthttp.Request, resp *fasthttp.Response) Outcome {
+	c.SetDeadline(e.call.Deadline)
+	resp.StreamBody = true
+	resp.SkipBody = req.Header.IsHead()
+	err := resp.ReadLimitBody(c.r, 0)
+	var ne net.Error
+	switch {
+	case err == nil:
+	case e.isAborted():
+		return Outcome{Failure: Aborted, Sent: true, Err: err}
+	case errors.As(err, &ne) && ne.Timeout():
+		e.pool.silent(c)
+		return Outcome{Failure: Silent, Sent: true, Err: err}
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &ne):
+		return Outcome{Failure: Cut, Sent: true, Err: err}
+	default:
+		return Outcome{Failure: Malformed, Sent: true, Err: err}
+	}
+	if id := resp.Header.Peek(idHeader); len(id) > 0 && string(id) != string(req.Header.Peek(idHeader)) {
+		return Outcome{Failure: Crossed, Sent: true, Err: errors.Newf("answer for request %q", id)}
+	}
+	if !resp.SkipBody && resp.Header.ContentLength() == -2 && bodyAllowed(resp.StatusCode()) {
+		return Outcome{Failure: Malformed, Sent: true, Err: errors.New("answer has no length")}
+	}
+	return Outcome{Sent: true}
+}
+
+// bodyAllowed reports whether an answer with the status has a body.
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
+// stream moves the answer from raw to resp and hands the connection over to
+// resp's body.
+func (e *Exchange) stream(c *conn, req *fasthttp.Request, raw, resp *fasthttp.Response) {
+	keep := !raw.ConnectionClose() && !req.ConnectionClose()
+	raw.Header.CopyTo(&resp.Header)
+	size := raw.Header.ContentLength()
+	if raw.SkipBody || raw.BodyStream() == nil || !bodyAllowed(raw.StatusCode()) {
+		resp.SkipBody = raw.SkipBody
+		fasthttp.ReleaseResponse(raw)
+		e.release(c, keep)
+		return
+	}
+	resp.SetBodyStream(&answerBody{
+		e: e, c: c, raw: raw, r: raw.BodyStream(), wait: e.call.Progress, end: e.call.Deadline,
+		now: e.pool.clock.Now, keep: keep, size: size,
+	}, size)
+}
+
+// release gives the connection back, or closes it.
+func (e *Exchange) release(c *conn, keep bool) {
+	e.mu.Lock()
+	e.conn = nil
+	keep = keep && !e.aborted
+	e.mu.Unlock()
+	if !keep {
+		c.Close()
+		return
+	}
+	c.SetDeadline(time.Time{})
+	e.pool.put(c)
+}
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		b.err = err
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/traffic/upstream/socket.go
@@ -0,0 +1,51 @@
+package upstream
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// setUserTimeout bounds how long the kernel repeats unacknowledged bytes.
+func setUserTimeout(_, _ string, rc syscall.RawConn) error {
+	var set error
+	err := rc.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
+
+// quiet reports whether an unused connection is open and has nothing to read.
+// Bytes that nobody asked for belong to an answer that came too late.
+func quiet(c net.Conn) bool {
+	open, readable := Peek(c)
+	return open && !readable
+}
+
+// Peek looks at a connection without reading from it or waiting. It reports
+// whether the other side still holds it open and whether bytes wait.
+func Peek(c net.Conn) (open, readable bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true, false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false, false
+	}
+	err = rc.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EAGAIN || err == unix.EINTR:
+			open = true
+		case err == nil && n > 0:
+			open, readable = true, true
+		}
+	})
+	return open && err == nil, readable
+}
--- a/vm.go
+++ b/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"strings"
 )
 
@@ -38,3 +39,6 @@
 
 // Less orders VMs by name.
 func (v VM) Less(w VM) bool { return strings.Compare(string(v.Name), string(w.Name)) < 0 }
+
+// String returns the place as domain/index.
+func (p Place) String() string { return string(p.Domain) + "/" + strconv.Itoa(p.Index) }
