Hold the store client's behaviour on broken connections

Cause: the client had no test for retries of the HTTP library, for silent connections in its pool, or for answers that end with their connection.

Ruled out: the length check as first written. Answers are now read as streams, where the header's length is still known.

Conclusion: each call is sent once, on a connection that is not used again after a failure.

--- a/internal/platform/store/pool.go
+++ b/internal/platform/store/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -61,8 +62,8 @@
 	l, call := p.take()
 	stop := context.AfterFunc(ctx, l.cutOff)
 	err = l.http.DoTimeout(req, resp, limit)
-	if err == nil && resp.Header.ContentLength() < 0 {
-		err = errors.New("answer of unknown length")
+	if err == nil {
+		err = readBody(resp)
 	}
 	if !stop() && err == nil {
 		err = errCut
@@ -76,6 +77,24 @@
 	return true, nil
 }
 
+// readBody reads the body, which is a stream, into the response. Its length
+// has to be known, for the library takes the end of the connection for the end
+// of a body without one.
+func readBody(resp *fasthttp.Response) error {
+	n := resp.Header.ContentLength()
+	if n < 0 || n > maxAnswer {
+		_ = resp.CloseBodyStream()
+		return errors.Newf("answer of length %d", n)
+	}
+	b := make([]byte, n)
+	_, err := io.ReadFull(resp.BodyStream(), b)
+	if cerr := resp.CloseBodyStream(); err == nil {
+		err = cerr
+	}
+	resp.SetBodyRaw(b)
+	return errors.Wrap(err, "read answer")
+}
+
 // take returns an idle lane or a new one, and the number of the call.
 func (p *pool) take() (*lane, uint64) {
 	p.mu.Lock()
@@ -137,7 +156,7 @@
 		MaxConns:                  1,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:       maxAnswer,
+		StreamResponseBody:        true,
 		NoDefaultUserAgentHeader:  true,
 		DisablePathNormalizing:    true,
 	}
--- a/internal/platform/store/store_test.go
+++ b/internal/platform/store/store_test.go
@@ -131,18 +131,18 @@
 		ch := make(chan string, 1)
 		s.started[name] = ch
 		timeout := s.timeout
-		go func() { ch <- s.call(strings.Fields(command), timeout) }()
+		go func() { ch <- s.call(context.Background(), strings.Fields(command), timeout) }()
 		return ""
 	case "join":
 		return <-s.started[f[0]]
 	default:
-		return s.call(strings.Fields(command), s.timeout)
+		return s.call(context.Background(), strings.Fields(command), s.timeout)
 	}
 }
 
 // call calls the store.
-func (s *script) call(f []string, timeout time.Duration) string {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+func (s *script) call(ctx context.Context, f []string, timeout time.Duration) string {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var (
 		o       sassafrastray.Object
--- /dev/null
+++ b/internal/platform/store/wire_test.go
@@ -0,0 +1,181 @@
+package store_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray/internal/platform/store"
+)
+
+type (
+	// wireCase is a store that answers byte by byte as its script says.
+	wireCase struct {
+		Name string `yaml:"name"`
+		// Conns has for each connection, in the order of their opening, the
+		// answers to its requests. After the last it closes; an answer
+		// "hang" keeps it open without a word, and one that begins with
+		// "paired " waits until a second connection has had a request.
+		Conns [][]string `yaml:"conns"`
+		Calls []wireCall `yaml:"calls"`
+		// Requests is how many requests arrive in all.
+		Requests int `yaml:"requests"`
+	}
+
+	// wireCall is a call of the client and its outcome.
+	wireCall struct {
+		Do     string        `yaml:"do"`
+		Within time.Duration `yaml:"within"`
+		// Cancel ends the call's context after this time.
+		Cancel time.Duration `yaml:"cancel"`
+		Want   string        `yaml:"want"`
+		// Beside lets the call run beside the next one.
+		Beside bool `yaml:"beside"`
+	}
+
+	// wire is the server of one case.
+	wire struct {
+		ln    net.Listener
+		conns [][]string
+		stop  chan struct{}
+		// paired is closed when two connections have had a request.
+		paired chan struct{}
+		all    sync.WaitGroup
+
+		mu       sync.Mutex
+		requests int
+		opened   int
+		used     int
+	}
+)
+
+// patience is how long a call may take that has to end early.
+const patience = 8 * time.Second
+
+// TestWire holds what the client makes of each way in which a connection can
+// end, that it sends each request once, and that it never uses a connection
+// again whose call failed.
+func TestWire(t *testing.T) {
+	b, err := os.ReadFile("testdata/wire.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []wireCase
+	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			c.run(t)
+		})
+	}
+}
+
+func (c wireCase) run(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &wire{ln: ln, conns: c.Conns, stop: make(chan struct{}), paired: make(chan struct{})}
+	w.all.Go(w.accept)
+	client := store.New(ln.Addr().(*net.TCPAddr).AddrPort(), "north-1", "vm-1")
+	var beside sync.WaitGroup
+	for i, call := range c.Calls {
+		check := func() {
+			if got := call.run(t, client); got != call.Want {
+				t.Errorf("call %d, %s: got %s, want %s", i+1, call.Do, got, call.Want)
+			}
+		}
+		if call.Beside {
+			beside.Go(check)
+			continue
+		}
+		check()
+		beside.Wait()
+	}
+	client.Close()
+	close(w.stop)
+	ln.Close()
+	w.all.Wait()
+	if w.requests != c.Requests || w.opened != len(c.Conns) {
+		t.Errorf("got %d requests on %d connections, want %d on %d", w.requests, w.opened, c.Requests, len(c.Conns))
+	}
+}
+
+func (c wireCall) run(t *testing.T, client *store.Client) string {
+	s := &script{t: t, client: client}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if c.Cancel > 0 {
+		time.AfterFunc(c.Cancel, cancel)
+	}
+	within := c.Within
+	if within == 0 {
+		within = 10 * time.Second
+	}
+	done := make(chan string, 1)
+	go func() { done <- s.call(ctx, strings.Fields(c.Do), within) }()
+	select {
+	case got := <-done:
+		return got
+	case <-time.After(patience):
+		return "stuck"
+	}
+}
+
+func (w *wire) accept() {
+	for {
+		conn, err := w.ln.Accept()
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		var answers []string
+		if w.opened < len(w.conns) {
+			answers = w.conns[w.opened]
+		}
+		w.opened++
+		w.mu.Unlock()
+		w.all.Go(func() { w.serve(conn, answers) })
+	}
+}
+
+func (w *wire) serve(conn net.Conn, answers []string) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for i, a := range answers {
+		var req fasthttp.Request
+		if err := req.Read(r); err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.requests++
+		if i == 0 {
+			w.used++
+			if w.used == 2 {
+				close(w.paired)
+			}
+		}
+		w.mu.Unlock()
+		if paired, ok := strings.CutPrefix(a, "paired "); ok {
+			<-w.paired
+			a = paired
+		}
+		if a == "hang" {
+			<-w.stop
+			return
+		}
+		if _, err := conn.Write([]byte(strings.ReplaceAll(a, "\n", "\r\n"))); err != nil {
+			return
+		}
+	}
+}
