Add the load generator, its cases and its reports

Cause: what the system does under load has to be measured from the callers' side, with the arrivals fixed in advance and latencies counted from the intended time of sending, and held against what backend servers executed.

Ruled out: a report from the system's own figures, which would repeat its mistakes; the audit compares callers' answers with the backend servers' record, by order id. Also ruled out: net/http for callers; fasthttp with its retries off and streamed answers tells a whole answer from one that ended with its connection.

Change: below internal/standin: scenario (case files, with problems by file, line and field), arrival (Poisson schedule), caller (look-ups, requests, checks; also straight to backend servers), load (ants), tally, audit, report, chart; the subcommands load and report; examples/load.

Not proved yet: the model of a backend server and the object table with random steps.

--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafrastray"
+	"sassafrastray/internal/standin/audit"
+	"sassafrastray/internal/standin/caller"
+	"sassafrastray/internal/standin/chart"
+	"sassafrastray/internal/standin/ledger"
+	"sassafrastray/internal/standin/load"
+	"sassafrastray/internal/standin/report"
+	"sassafrastray/internal/standin/scenario"
+	"sassafrastray/internal/standin/server"
+)
+
+type loadCmd struct {
+	Case     string           `arg:"" help:"YAML file of the case." type:"existingfile"`
+	VMs      []netip.AddrPort `help:"VMs to ask first, in place of the case's." name:"vms"`
+	Direct   string           `help:"YAML file of backend servers to send to without the system." type:"existingfile"`
+	Backends []netip.AddrPort `help:"Control addresses of the backend servers, to compare with what they executed."`
+	Scale    float64          `help:"Factor on the lengths of all phases." default:"1"`
+	Seed     uint64           `help:"Seed of the schedule, in place of the case's."`
+	Workers  int              `help:"Greatest number of requests under way." default:"20000"`
+	JSON     string           `help:"File for the report as JSON." name:"json"`
+	Plot     string           `help:"File for the chart, .svg or .png."`
+}
+
+// sender is what Run needs of a way to send.
+type sender interface {
+	load.Sender
+	Close()
+}
+
+// errViolated makes a run that breaks a promise fail.
+var errViolated = errors.New("callers were told what is not so, or a request went wrong")
+
+func (c *loadCmd) Run(std *streams, log *slog.Logger) error {
+	cs, err := c.scenario()
+	if err != nil {
+		return err
+	}
+	s, path, err := c.sender(cs)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	prefix := cs.Name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	run := load.New(cs, s, load.SystemPacer{}, log, prefix, c.Workers)
+	if err := run.Do(ctx); err != nil {
+		return err
+	}
+	r := report.New(cs, path, run.Book(), run.Lag())
+	if lk, ok := s.(*caller.Caller); ok {
+		r.Lookups.Done, r.Lookups.Failed = lk.Lookups()
+	}
+	if err := c.audit(r, run); err != nil {
+		return err
+	}
+	return c.write(r, std)
+}
+
+func (c *loadCmd) scenario() (*scenario.Case, error) {
+	b, err := os.ReadFile(c.Case)
+	if err != nil {
+		return nil, errors.Wrap(err, "read case")
+	}
+	cs, err := scenario.Parse(c.Case, b)
+	if err != nil {
+		return nil, err
+	}
+	cs.Scale(c.Scale)
+	if c.Seed != 0 {
+		cs.Seed = c.Seed
+	}
+	return cs, nil
+}
+
+func (c *loadCmd) sender(cs *scenario.Case) (sender, report.Path, error) {
+	clock := sassafrastray.SystemClock{}
+	if c.Direct == "" {
+		seeds := c.VMs
+		if len(seeds) == 0 {
+			seeds = cs.Addresses()
+		}
+		if len(seeds) == 0 {
+			return nil, "", errors.New("neither the case nor a flag names a VM")
+		}
+		return caller.New(clock, seeds), report.Through, nil
+	}
+	b, err := os.ReadFile(c.Direct)
+	if err != nil {
+		return nil, "", errors.Wrap(err, "read servers")
+	}
+	servers, err := server.Parse(b)
+	if err != nil {
+		return nil, "", err
+	}
+	return caller.NewDirect(clock, servers), report.Direct, nil
+}
+
+// audit asks the backend servers what they executed.
+func (c *loadCmd) audit(r *report.Report, run *load.Run) error {
+	if len(c.Backends) == 0 {
+		return nil
+	}
+	var entries []ledger.Entry
+	for _, b := range c.Backends {
+		e, err := audit.Fetch(b)
+		if err != nil {
+			return err
+		}
+		entries = append(entries, e...)
+	}
+	v := run.Claims().Audit(entries)
+	r.Audit = &v
+	return nil
+}
+
+func (c *loadCmd) write(r *report.Report, std *streams) error {
+	fmt.Fprint(std.out, r.Text())
+	if c.JSON != "" {
+		if err := os.WriteFile(c.JSON, r.JSON(), 0o644); err != nil {
+			return errors.Wrap(err, "write report")
+		}
+	}
+	if c.Plot != "" {
+		if err := chart.Write(r, c.Plot); err != nil {
+			return err
+		}
+	}
+	if r.Total.Wrong > 0 || (r.Audit != nil && r.Audit.Broken()) {
+		return errViolated
+	}
+	return nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -16,6 +16,8 @@
 	cli struct {
 		Store   storeCmd   `cmd:"" help:"Serve an object store and a list of VMs."`
 		Backend backendCmd `cmd:"" help:"Serve backend servers."`
+		Load    loadCmd    `cmd:"" help:"Send requests as callers do, and report what came of them."`
+		Report  reportCmd  `cmd:"" help:"Show the spread of several runs of a case."`
 	}
 
 	// streams are the standard streams, so that tests can replace them.
--- /dev/null
+++ b/internal/standin/audit/fetch.go
@@ -0,0 +1,45 @@
+package audit
+
+import (
+	"encoding/json"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray/internal/standin/ledger"
+)
+
+// fetchTimeout bounds the reading of one ledger.
+const fetchTimeout = time.Minute
+
+// Fetch reads the executions of the backend servers behind a control address.
+func Fetch(control netip.AddrPort) ([]ledger.Entry, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + control.String() + "/control/executed")
+	h := fasthttp.HostClient{Addr: control.String(), StreamResponseBody: true}
+	defer h.CloseIdleConnections()
+	if err := h.DoTimeout(req, resp, fetchTimeout); err != nil {
+		return nil, errors.Wrap(err, "read executions")
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, errors.Newf("read executions: status %d", resp.StatusCode())
+	}
+	var entries []ledger.Entry
+	for d := json.NewDecoder(resp.BodyStream()); ; {
+		var e ledger.Entry
+		err := d.Decode(&e)
+		if errors.Is(err, io.EOF) {
+			return entries, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read executions")
+		}
+		entries = append(entries, e)
+	}
+}
--- a/internal/standin/backend/body.go
+++ b/internal/standin/backend/body.go
@@ -103,6 +103,7 @@
 	if x.work.Cross {
 		a = x.host.swap(a)
 		ctx.Response.Header.Set(headerID, a.ID)
+		ctx.Response.Header.Set(headerOrder, a.Order)
 	}
 	text, err := json.Marshal(a)
 	if err != nil {
--- a/internal/standin/backend/handle.go
+++ b/internal/standin/backend/handle.go
@@ -77,6 +77,9 @@
 	if id := ctx.Request.Header.Peek(headerID); len(id) > 0 {
 		ctx.Response.Header.SetBytesV(headerID, id)
 	}
+	if id := ctx.Request.Header.Peek(headerOrder); len(id) > 0 {
+		ctx.Response.Header.SetBytesV(headerOrder, id)
+	}
 	if h.state.Plan().Drain {
 		ctx.Response.Header.Set(headerDrain, "1")
 	}
--- /dev/null
+++ b/internal/standin/load/load.go
@@ -0,0 +1,185 @@
+// Package load sends the requests of a case at the times that its schedule
+// fixes in advance, whatever becomes of the requests before them.
+package load
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+	"sassafrastray/internal/standin/arrival"
+	"sassafrastray/internal/standin/audit"
+	"sassafrastray/internal/standin/outcome"
+	"sassafrastray/internal/standin/scenario"
+	"sassafrastray/internal/standin/tally"
+)
+
+const (
+	maxLag       = time.Minute
+	lagDigits    = 3
+	eventTimeout = 5 * time.Second
+)
+
+type (
+	// Sender sends one request, whose caller began to wait at start, and
+	// returns what became of it. It is used by many goroutines.
+	Sender interface {
+		Send(a arrival.Arrival, order string, start time.Time) outcome.Outcome
+	}
+
+	// Pacer is a clock that can be waited for.
+	Pacer interface {
+		sassafrastray.Clock
+		// Sleep returns at the given time, or an error when the context
+		// ends before.
+		Sleep(ctx context.Context, until time.Time) error
+	}
+
+	// Lag is how far the generator itself was behind its schedule.
+	Lag struct {
+		P99 time.Duration `json:"p99"`
+		Max time.Duration `json:"max"`
+		// Overloads counts the requests that were not sent, because all
+		// workers were taken. A run that has any measures the generator.
+		Overloads int `json:"overloads"`
+	}
+
+	// Run is one run of a case.
+	Run struct {
+		scenario *scenario.Case
+		sender   Sender
+		pacer    Pacer
+		log      *slog.Logger
+		workers  int
+
+		mu        sync.Mutex
+		book      *tally.Book
+		claims    *audit.Claims
+		lag       *hdrhistogram.Histogram
+		overloads int
+	}
+
+	// job is a request for a worker.
+	job struct {
+		arrival arrival.Arrival
+		start   time.Time
+	}
+)
+
+// New returns a run whose order ids begin with prefix. It has at most workers
+// requests under way.
+func New(c *scenario.Case, s Sender, p Pacer, log *slog.Logger, prefix string, workers int) *Run {
+	return &Run{
+		scenario: c, sender: s, pacer: p, log: log, workers: workers,
+		book:   tally.New(c.Length()),
+		claims: audit.New(prefix),
+		lag:    hdrhistogram.New(1, maxLag.Microseconds(), lagDigits),
+	}
+}
+
+// Do sends all requests and waits for their ends. It stops early when the
+// context ends.
+func (r *Run) Do(ctx context.Context) error {
+	var all sync.WaitGroup
+	pool, err := ants.NewPoolWithFuncGeneric(r.workers, func(j job) {
+		defer all.Done()
+		r.send(j)
+	}, ants.WithNonblocking(true))
+	if err != nil {
+		return errors.Wrap(err, "start workers")
+	}
+	defer pool.Release()
+	start := r.pacer.Now()
+	all.Go(func() { r.events(ctx, start) })
+	schedule := arrival.New(r.scenario)
+	for a, ok := schedule.Next(); ok; a, ok = schedule.Next() {
+		at := start.Add(a.At)
+		if err = r.pacer.Sleep(ctx, at); err != nil {
+			break
+		}
+		r.late(r.pacer.Now().Sub(at))
+		all.Add(1)
+		if err := pool.Invoke(job{a, at}); err != nil {
+			all.Done()
+			r.overload()
+		}
+	}
+	all.Wait()
+	return errors.Wrap(err, "run")
+}
+
+// Book returns the outcomes. It is for use after Do.
+func (r *Run) Book() *tally.Book { return r.book }
+
+// Claims returns what callers were told. They are for use after Do.
+func (r *Run) Claims() *audit.Claims { return r.claims }
+
+// Lag returns how far the generator was behind.
+func (r *Run) Lag() Lag {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	us := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+	return Lag{us(r.lag.ValueAtQuantile(99)), us(r.lag.Max()), r.overloads}
+}
+
+func (r *Run) send(j job) {
+	order := r.claims.Order(j.arrival.Number)
+	o := r.sender.Send(j.arrival, order, j.start)
+	latency := r.pacer.Now().Sub(j.start)
+	if o.Class != outcome.OK && o.Class != outcome.Refused {
+		r.log.Debug("request", "order", order, "class", o.Class, "detail", o.Detail)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.book.Add(j.arrival, o, latency)
+	r.claims.Add(j.arrival, o)
+}
+
+func (r *Run) late(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	us := min(max(d, time.Microsecond), maxLag).Microseconds()
+	if err := r.lag.RecordValue(us); err != nil {
+		panic("load: " + err.Error())
+	}
+}
+
+func (r *Run) overload() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.overloads++
+}
+
+// events does the case's control calls at their times.
+func (r *Run) events(ctx context.Context, start time.Time) {
+	events := slices.SortedStableFunc(slices.Values(r.scenario.Events), func(a, b scenario.Event) int {
+		return cmp.Compare(a.At, b.At)
+	})
+	for _, e := range events {
+		if r.pacer.Sleep(ctx, start.Add(e.At)) != nil {
+			return
+		}
+		status, err := put(e)
+		r.log.Info("event", "at", e.At, "put", e.Put, "body", e.Body, "status", status, "err", err)
+	}
+}
+
+func put(e scenario.Event) (int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPut)
+	req.SetRequestURI(e.Put)
+	req.SetBodyString(e.Body)
+	err := fasthttp.DoTimeout(req, resp, eventTimeout)
+	return resp.StatusCode(), err
+}
--- /dev/null
+++ b/internal/standin/load/path_test.go
@@ -0,0 +1,244 @@
+package load_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"sassafrastray"
+	"sassafrastray/internal/standin/audit"
+	"sassafrastray/internal/standin/backend"
+	"sassafrastray/internal/standin/caller"
+	"sassafrastray/internal/standin/gate"
+	"sassafrastray/internal/standin/load"
+	"sassafrastray/internal/standin/scenario"
+	"sassafrastray/internal/standin/server"
+)
+
+type (
+	// pathCase is a run through an entry VM that does something wrong to
+	// each order, and what the report has to say of it. Counts that a case
+	// does not name have to be 0.
+	pathCase struct {
+		Name string `yaml:"name"`
+		// VM is what the entry VM does.
+		VM string `yaml:"vm"`
+		// Backend is the plan of the backend server.
+		Backend string `yaml:"backend"`
+		// Want lists the counts that have to be above 0.
+		Want []string `yaml:"want"`
+	}
+
+	// entryVM forwards to one backend server in a simple way.
+	entryVM struct {
+		mode    string
+		backend string
+		address netip.AddrPort
+		lookups atomic.Int64
+	}
+)
+
+// TestPaths holds that callers and the audit see each thing that can go wrong
+// on the way, and see nothing if nothing does.
+func TestPaths(t *testing.T) {
+	b, err := os.ReadFile("testdata/paths.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []pathCase
+	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			c.run(t)
+		})
+	}
+}
+
+func (c pathCase) run(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f, control := startBackend(t, log)
+	if c.Backend != "" {
+		if err := f.Fault("*", []byte(c.Backend)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	vm := &entryVM{mode: c.VM, backend: "http://" + f.Servers("*")[0].Listen.String()}
+	front := httptest.NewServer(vm)
+	t.Cleanup(front.Close)
+	vm.address = netip.MustParseAddrPort(strings.TrimPrefix(front.URL, "http://"))
+	text, err := os.ReadFile("testdata/path.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cs, err := scenario.Parse("path.yaml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := caller.New(sassafrastray.SystemClock{}, []netip.AddrPort{vm.address})
+	defer s.Close()
+	r := load.New(cs, s, load.SystemPacer{}, log, "path", 1000)
+	if err := r.Do(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := audit.Fetch(control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.compare(t, counts(r, r.Claims().Audit(entries)))
+	if n := vm.lookups.Load(); n == 0 || n > maxLookups {
+		t.Errorf("%d look-ups", n)
+	}
+}
+
+// maxLookups is one for each team and service, as the answers live longer than
+// the run.
+const maxLookups = 2
+
+func (c pathCase) compare(t *testing.T, got map[string]int) {
+	for _, name := range c.Want {
+		if got[name] == 0 {
+			t.Errorf("%s is 0", name)
+		}
+		delete(got, name)
+	}
+	for name, n := range got {
+		if n != 0 {
+			t.Errorf("%s is %d", name, n)
+		}
+	}
+}
+
+func counts(r *load.Run, v audit.Verdict) map[string]int {
+	total := r.Book().Total()
+	got := map[string]int{
+		"ok": total.OK, "wrong": total.Wrong, "broken": total.Broken, "late": total.Late,
+		"unreached": total.Unreached, "overloads": r.Lag().Overloads,
+		"twice": v.Twice, "repeated": v.Repeated, "notRun": v.NotRun, "missing": v.Missing,
+		"keys": v.Keys, "teams": v.Teams, "unknown": v.Unknown, "unknownRan": v.UnknownRan,
+	}
+	for reason, n := range total.Refused {
+		got["refused "+reason] = n
+	}
+	for reason, n := range total.Failed {
+		got["failed "+reason] = n
+	}
+	return got
+}
+
+func startBackend(t *testing.T, log *slog.Logger) (*backend.Fleet, netip.AddrPort) {
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	f, err := backend.New(sassafrastray.SystemClock{}, log, rand.New(rand.NewPCG(1, 1)), []server.Settings{
+		{Name: "stock-1", Service: "stock", Version: "v1", Listen: loopback, Slots: 1000, Time: time.Millisecond},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	control, err := gate.New(loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.ServeOn(ctx, control)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return f, control.AddrPort()
+}
+
+func (v *entryVM) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/lookup" {
+		v.lookups.Add(1)
+		fmt.Fprintf(w, `{"service":%q,"config":1,"ttl":60,"vms":[{"name":"vm-1","address":%q,"weight":1}]}`,
+			r.URL.Query().Get("service"), v.address)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if v.mode == "refuse" {
+		refuse(w)
+		return
+	}
+	team := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer sk_")
+	if v.mode == "mistake" {
+		team = "coop"
+	}
+	if v.mode == "pretend" {
+		w.Header().Set("Result", "ran")
+		_ = json.NewEncoder(w).Encode(map[string]string{"order": r.Header.Get("Order-Id")})
+		return
+	}
+	resp, answer, err := v.forward(r, team, body)
+	if v.mode == "double" && err == nil {
+		resp, answer, err = v.forward(r, team, body)
+	}
+	v.answer(w, resp, answer, err)
+}
+
+// answer writes what the backend server answered, in the VM's own way.
+func (v *entryVM) answer(w http.ResponseWriter, resp *http.Response, body []byte, err error) {
+	switch {
+	case err != nil:
+		w.Header().Set("Result", "unknown")
+		w.Header().Set("Reason", "broken")
+		w.WriteHeader(http.StatusBadGateway)
+	case resp.Header.Get("Shed") != "" || v.mode == "deny":
+		refuse(w)
+	case v.mode == "hang up":
+		panic(http.ErrAbortHandler)
+	default:
+		w.Header().Set("Result", "ran")
+		w.WriteHeader(resp.StatusCode)
+		if v.mode == "cut" {
+			body = body[:len(body)-1]
+		}
+		_, _ = w.Write(body)
+	}
+}
+
+func (v *entryVM) forward(r *http.Request, team string, body []byte) (*http.Response, []byte, error) {
+	req, err := http.NewRequest(r.Method, v.backend+r.URL.RequestURI(), strings.NewReader(string(body)))
+	if err != nil {
+		return nil, nil, err
+	}
+	req.Header.Set("Order-Id", r.Header.Get("Order-Id"))
+	req.Header.Set("Team", team)
+	if v.mode == "leak" {
+		req.Header.Set("Cookie", "key=sk_"+team)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp, answer, err
+}
+
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Result", "not-run")
+	w.Header().Set("Reason", "busy")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- a/internal/standin/pattern/pattern.go
+++ b/internal/standin/pattern/pattern.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/binary"
 	"io"
-	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
@@ -28,6 +27,9 @@
 	}
 )
 
+// ErrDiffers means that a body is not the pattern.
+var ErrDiffers = errors.New("body differs")
+
 // New returns a reader of size bytes.
 func New(size int64) *Reader { return &Reader{size: size} }
 
@@ -47,8 +49,8 @@
 	return len(p), nil
 }
 
-// Write implements io.Writer. It returns an error that names the position of
-// the first byte that differs.
+// Write implements io.Writer. It returns ErrDiffers with the position of the
+// first byte that differs.
 func (c *Checker) Write(p []byte) (int, error) {
 	for n := 0; n < len(p); {
 		word := wordAt(c.at + int64(n))
@@ -57,7 +59,7 @@
 				break
 			}
 			if p[n] != b {
-				return n, errors.New("byte " + strconv.FormatInt(c.at+int64(n), 10) + " differs")
+				return n, errors.Wrapf(ErrDiffers, "byte %d", c.at+int64(n))
 			}
 			n++
 		}
--- /dev/null
+++ b/internal/standin/report/report_test.go
@@ -0,0 +1,123 @@
+package report_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"sassafrastray"
+	"sassafrastray/internal/standin/arrival"
+	"sassafrastray/internal/standin/audit"
+	"sassafrastray/internal/standin/chart"
+	"sassafrastray/internal/standin/load"
+	"sassafrastray/internal/standin/outcome"
+	"sassafrastray/internal/standin/report"
+	"sassafrastray/internal/standin/scenario"
+	"sassafrastray/internal/standin/tally"
+)
+
+// sample returns the report of a run whose outcomes follow from the requests'
+// numbers. Each step of slower makes answers slower.
+func sample(t *testing.T, slower time.Duration) *report.Report {
+	b, err := os.ReadFile("testdata/case.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := scenario.Parse("case.yaml", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	book := tally.New(c.Length())
+	s := arrival.New(c)
+	for a, ok := s.Next(); ok; a, ok = s.Next() {
+		latency := 10*time.Millisecond + time.Duration(a.Number%37)*(time.Millisecond+slower)
+		book.Add(a, outcomeOf(a), latency)
+	}
+	r := report.New(c, report.Through, book, load.Lag{P99: time.Millisecond, Max: 3 * time.Millisecond})
+	r.Lookups = report.Lookups{Done: 12, Failed: 1}
+	return r
+}
+
+func outcomeOf(a arrival.Arrival) outcome.Outcome {
+	switch {
+	case !a.Inside:
+		return outcome.Outcome{Class: outcome.Refused, Status: 429, Reason: sassafrastray.ReasonQuota}
+	case a.Number%50 == 7:
+		return outcome.Outcome{Class: outcome.Refused, Status: 503, Reason: sassafrastray.ReasonBusy}
+	case a.Number%90 == 8:
+		return outcome.Outcome{Class: outcome.Failed, Status: 500}
+	case a.Number%200 == 9:
+		return outcome.Outcome{Class: outcome.Late}
+	case a.Number%300 == 10:
+		return outcome.Outcome{Class: outcome.Broken, Redials: 1}
+	case a.Number == 11:
+		return outcome.Outcome{Class: outcome.Wrong}
+	case a.Number == 12:
+		return outcome.Outcome{Class: outcome.Unreached, Redials: 2}
+	default:
+		return outcome.Outcome{Class: outcome.OK, Status: 200}
+	}
+}
+
+func TestText(t *testing.T) {
+	r := sample(t, 0)
+	goldie.New(t).Assert(t, "text", []byte(r.Text()))
+	r.Audit = &audit.Verdict{
+		Executions: 800, Twice: 1, Unknown: 5, UnknownRan: 2,
+		Quotas: []audit.Quota{
+			{Team: "coop", Service: "stock", Rate: 10, Burst: 5, Needed: 4},
+			{Team: "depot", Service: "orders", Rate: 20, Burst: 5, Needed: 7.25},
+		},
+		Samples: []string{"sample-1 ran 2 times"},
+	}
+	_, text, _ := strings.Cut(r.Text(), "\nbackend servers")
+	goldie.New(t).Assert(t, "audit", []byte("backend servers"+text))
+}
+
+// TestSpread merges reports that went through JSON, as those of real runs do.
+func TestSpread(t *testing.T) {
+	var runs []*report.Report
+	for i := range report.EnoughRuns {
+		r, err := report.Parse(sample(t, time.Duration(i)*100*time.Microsecond).JSON())
+		if err != nil {
+			t.Fatal(err)
+		}
+		runs = append(runs, r)
+	}
+	text, err := report.Spread(runs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "spread", []byte(text))
+	few, err := report.Spread(runs[:2])
+	if err != nil || !strings.Contains(few, "fewer than 5 runs") {
+		t.Errorf("two runs: %v\n%s", err, few)
+	}
+	runs[1].Case = "other"
+	if _, err := report.Spread(runs); err == nil {
+		t.Error("runs of two cases were merged")
+	}
+}
+
+func TestChart(t *testing.T) {
+	for _, name := range []string{"run.svg", "run.png"} {
+		file := filepath.Join(t.TempDir(), name)
+		if err := chart.Write(sample(t, 0), file); err != nil {
+			t.Fatal(err)
+		}
+		if st, err := os.Stat(file); err != nil || st.Size() == 0 {
+			t.Error("no chart", err)
+		}
+	}
+	empty := report.New(&scenario.Case{}, report.Direct, tally.New(time.Second), load.Lag{})
+	if err := chart.Write(empty, filepath.Join(t.TempDir(), "empty.svg")); err != nil {
+		t.Error(err)
+	}
+	if err := chart.Write(empty, filepath.Join(t.TempDir(), "run.pdf")); err == nil {
+		t.Error("a PDF was accepted")
+	}
+}
--- /dev/null
+++ b/internal/standin/report/text.go
@@ -0,0 +1,114 @@
+package report
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"sassafrastray/internal/standin/tally"
+)
+
+const (
+	head    = "\tsent\tok\trefused\tin quota\tshare\tfailed\twrong\tbroken\tlate\tunreached\tp50\tp99\tp99.9\tmax\t"
+	padding = 2
+)
+
+// Text returns the report as tables for people. Latencies are in
+// milliseconds, from the intended time of sending, of requests that went well.
+// The column "in quota" counts the refusals of requests that the quota had
+// room for, and "share" is the part of such requests that went well.
+func (r *Report) Text() string {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "case %s, path %s, seed %d, %s, %d requests, %.1f a second\n",
+		r.Case, r.Path, r.Seed, r.Length, r.Total.Sent, float64(r.Total.Sent)/r.Length.Seconds())
+	fmt.Fprintf(&b, "generator behind its schedule: p99 %s ms, max %s ms; not sent for want of workers: %d\n",
+		ms(r.Lag.P99), ms(r.Lag.Max), r.Lag.Overloads)
+	fmt.Fprintf(&b, "look-ups: %d, failed %d; connections refused: %d\n\n", r.Lookups.Done, r.Lookups.Failed, r.Total.Redials)
+	w := tabwriter.NewWriter(&b, 0, 0, padding, ' ', tabwriter.AlignRight)
+	table(w, "team", append(slices.Clone(r.Teams), r.Total), func(t tally.Row) string { return string(t.Team) })
+	table(w, "service", r.Services, func(t tally.Row) string { return string(t.Service) })
+	table(w, "kind", r.Kinds, func(t tally.Row) string { return string(t.Service) + " " + t.Kind })
+	table(w, "team and service", r.Rows, func(t tally.Row) string { return string(t.Team) + " " + string(t.Service) })
+	w.Flush()
+	r.reasons(&b)
+	r.fairness(&b)
+	r.audit(&b)
+	return b.String()
+}
+
+// table writes one line for each of the rows.
+func table(w io.Writer, title string, rows []tally.Row, name func(tally.Row) string) {
+	fmt.Fprintf(w, "%s%s\n", title, head)
+	for _, t := range rows {
+		n := cmp.Or(name(t), "all")
+		l := t.Latency
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.4f\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t\n",
+			n, t.Sent, t.OK, sum(t.Refused), t.InsideRefused, t.Share(), sum(t.Failed), t.Wrong, t.Broken, t.Late, t.Unreached,
+			ms(l.P50), ms(l.P99), ms(l.P999), ms(l.Max))
+	}
+	fmt.Fprintln(w)
+}
+
+// reasons lists refusals and failures by reason.
+func (r *Report) reasons(w io.Writer) {
+	list(w, "refused", r.Total.Refused)
+	list(w, "failed", r.Total.Failed)
+	fmt.Fprintf(w, "time to refusal: p50 %s ms, p99 %s ms\n", ms(r.Total.Refusal.P50), ms(r.Total.Refusal.P99))
+}
+
+// fairness compares the worst-served team with the median one.
+func (r *Report) fairness(b io.Writer) {
+	fmt.Fprintln(b)
+	w := tabwriter.NewWriter(b, 0, 0, padding, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "service\tworst-served team\tits share\tmedian share\tslowest team\tits p99\tmedian p99\t")
+	for _, f := range r.Fairness {
+		fmt.Fprintf(w, "%s\t%s\t%.4f\t%.4f\t%s\t%s\t%s\t\n", cmp.Or(string(f.Service), "all"),
+			f.Worst, f.WorstShare, f.MedianShare, f.Slowest, ms(f.SlowestP99), ms(f.MedianP99))
+	}
+	w.Flush()
+}
+
+func (r *Report) audit(w io.Writer) {
+	v := r.Audit
+	if v == nil {
+		fmt.Fprintln(w, "backend servers were not asked what they executed")
+		return
+	}
+	fmt.Fprintf(w, "\nbackend servers executed %d requests\n", v.Executions)
+	fmt.Fprintf(w, "executed twice: %d not idempotent, %d idempotent\n", v.Twice, v.Repeated)
+	fmt.Fprintf(w, "answered \"not run\" but executed: %d\n", v.NotRun)
+	fmt.Fprintf(w, "answered as run but not executed: %d\n", v.Missing)
+	fmt.Fprintf(w, "unknown to the caller: %d, of which executed: %d\n", v.Unknown, v.UnknownRan)
+	fmt.Fprintf(w, "with a key: %d; for another team: %d\n", v.Keys, v.Teams)
+	for _, q := range v.Quotas {
+		if q.Needed > float64(q.Burst) {
+			fmt.Fprintf(w, "quota of %s at %s: rate %g, burst %d; needed %.1f\n", q.Team, q.Service, q.Rate, q.Burst, q.Needed)
+		}
+	}
+	for _, s := range v.Samples {
+		fmt.Fprintf(w, "  %s\n", s)
+	}
+}
+
+func list(w io.Writer, title string, counts map[string]int) {
+	fmt.Fprintf(w, "%s:", title)
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(w, " %s %d", reason, counts[reason])
+	}
+	fmt.Fprintln(w)
+}
+
+func sum(counts map[string]int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%.1f", float64(d)/float64(time.Millisecond)) }
