--- a/internal/platform/config/chunk.go
+++ b/internal/platform/config/chunk.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"io"
 	"net/netip"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,9 @@
 	maxPlain = 64 << 20
 )
 
+// writers keeps compressors, each of which holds the better part of a megabyte.
+var writers = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
+
 // lines returns the content of a sorted configuration, without number and
 // publish id: a line for the fleet, one for each service, one for each block.
 func lines(c *sassafrastray.Config) [][]byte {
@@ -138,7 +142,9 @@
 // versions of the library may compress it differently.
 func pack(plain []byte) []byte {
 	var buf bytes.Buffer
-	w := gzip.NewWriter(&buf)
+	w := writers.Get().(*gzip.Writer)
+	defer writers.Put(w)
+	w.Reset(&buf)
 	// Writes to a buffer never fail.
 	_, _ = w.Write(plain)
 	_ = w.Close()
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -27,9 +27,12 @@
 	now    time.Time
 	report *document.Report
 	config *sassafrastray.Config
-	// previous is what is in force, or nil.
-	previous *sassafrastray.Config
+	// previous is what is in force, or nil if that is not known.
+	previous *Previous
 
+	// blind is set if the fleet's file is unreadable: references to what it
+	// holds are then not reported one by one.
+	blind   bool
 	teams   map[sassafrastray.TeamName]bool
 	regions map[sassafrastray.RegionName]bool
 	domains map[sassafrastray.DomainName]sassafrastray.RegionName
@@ -54,8 +57,8 @@
 // Check does what Load does and returns the report itself, which may hold
 // warnings. The configuration is whole only if the report has not failed.
 // Deadlines are judged against now unless it is zero, and the change against
-// previous, the configuration in force, unless it is nil.
-func Check(dir string, now time.Time, previous *sassafrastray.Config) (*sassafrastray.Config, *document.Report) {
+// previous unless that is nil.
+func Check(dir string, now time.Time, previous *Previous) (*sassafrastray.Config, *document.Report) {
 	l := &loader{
 		dir: dir, now: now, previous: previous,
 		report: &document.Report{}, config: &sassafrastray.Config{},
@@ -67,15 +70,20 @@
 		backends:  map[sassafrastray.BackendName]sassafrastray.ServiceName{},
 		addresses: map[string]sassafrastray.BackendName{},
 	}
-	if n := l.parse(filepath.Join(dir, fleetFile)); n.Exists() {
-		l.readFleet(n)
+	fleet := l.parse(filepath.Join(dir, fleetFile))
+	if fleet.Exists() {
+		l.readFleet(fleet)
 	}
+	l.blind = !fleet.Exists()
 	for _, path := range l.serviceFiles() {
 		if n := l.parse(path); n.Exists() {
 			l.readService(n, strings.TrimSuffix(filepath.Base(path), extension))
 		}
 	}
-	l.checkRegions()
+	if fleet.Exists() {
+		l.checkSlots(fleet)
+		l.checkFleetChange(fleet)
+	}
 	Sort(l.config)
 	return l.config, l.report
 }
--- a/internal/platform/config/head.go
+++ b/internal/platform/config/head.go
@@ -22,6 +22,11 @@
 const (
 	// MaxHistory is how many of the latest publishes a head names.
 	MaxHistory = 32
+	// MaxMoves is how many of the latest moves a head names.
+	MaxMoves = 256
+	// MaxInline is the size of the largest configuration that the head holds
+	// itself, in bytes. It leaves room for what is beside it.
+	MaxInline = sassafrastray.MaxObject - 64<<10
 	// KeepHeads is for how many heads a chunk outlives the last one that
 	// refers to it, so that a VM which still reads an older head finds it.
 	KeepHeads = 8
@@ -46,6 +51,8 @@
 		Retired []Retired `json:"retired,omitempty"`
 		// History has the latest publishes, the newest first.
 		History []Entry `json:"history,omitempty"`
+		// Moves are those that were ever published, the newest first.
+		Moves []MoveID `json:"moves,omitempty"`
 	}
 
 	// Entry says which publish made a number.
@@ -113,15 +120,9 @@
 }
 
 // Split returns the head of the configuration, without history and retired
-// chunks, and the encoded chunks that it refers to, if any.
-func Split(c *sassafrastray.Config) (Head, map[Digest][]byte, error) {
-	return split(c, sassafrastray.MaxObject-reserve)
-}
-
-// reserve is the room in the head's object for what is beside the value.
-const reserve = 64 << 10
-
-func split(c *sassafrastray.Config, inline int) (Head, map[Digest][]byte, error) {
+// chunks, and the encoded chunks that it refers to. There are none if the
+// configuration takes at most inline bytes.
+func Split(c *sassafrastray.Config, inline int) (Head, map[Digest][]byte, error) {
 	Sort(c)
 	all := lines(c)
 	h := Head{Number: c.Number, Publish: c.Publish, Digest: sum(c.Number, c.Publish, all)}
--- a/internal/platform/config/service.go
+++ b/internal/platform/config/service.go
@@ -1,7 +1,7 @@
 package config
 
 import (
-	"strings"
+	"slices"
 	"time"
 
 	"sassafrastray"
@@ -51,6 +51,7 @@
 		s.Move = l.readMove(v)
 	}
 	l.checkVersions(f, &s)
+	l.checkChange(n, &s)
 	l.config.Services = append(l.config.Services, s)
 }
 
@@ -111,7 +112,7 @@
 		}
 		switch {
 		case a.Team == "":
-		case !l.teams[a.Team]:
+		case !l.teams[a.Team] && !l.blind:
 			f.Get("name").Problem("there is no team %q in %s", a.Team, fleetFile)
 		case seen[a.Team]:
 			f.Get("name").Problem("team %q is given twice", a.Team)
@@ -144,9 +145,9 @@
 }
 
 func (l *loader) checkBackend(f document.Fields, b *sassafrastray.BackendServer, s *sassafrastray.Service) {
-	if region, ok := l.domains[b.Domain]; !ok && b.Domain != "" {
+	if region, ok := l.domains[b.Domain]; !ok && b.Domain != "" && !l.blind {
 		f.Get("domain").Problem("there is no failure domain %q in %s", b.Domain, fleetFile)
-	} else if ok && region != "" && !hasRegion(s.Regions, region) {
+	} else if ok && region != "" && !slices.Contains(s.Regions, region) {
 		f.Get("domain").Problem("failure domain %q is in region %q, which the service does not list", b.Domain, region)
 	}
 	if first, ok := l.backends[b.Name]; ok {
@@ -164,30 +165,18 @@
 	l.addresses[b.Address.String()] = b.Name
 }
 
-func hasRegion(list []sassafrastray.RegionName, r sassafrastray.RegionName) bool {
-	for _, have := range list {
-		if have == r {
-			return true
-		}
-	}
-	return false
-}
-
-// checkRegions reports regions and failure domains that nothing can use.
-func (l *loader) checkRegions() {
+// checkSlots warns of regions whose bound on slots binds nothing.
+func (l *loader) checkSlots(fleet document.Node) {
 	slots := map[sassafrastray.RegionName]int{}
 	for _, s := range l.config.Services {
 		for _, b := range s.Backends {
 			slots[l.domains[b.Domain]] += b.Slots
 		}
 	}
-	path := l.dir + "/" + fleetFile
 	for _, r := range l.config.Fleet.Regions {
 		if r.Slots > slots[r.Name] {
-			l.report.Add(document.Problem{
-				File: path, Field: "regions." + string(r.Name) + ".slots", Warning: true,
-				Text: strings.TrimSpace("is above the sum of its backend servers' slots and binds nothing"),
-			})
+			fleet.Get("regions").Warn("%d slots of region %q are above the %d of its backend servers and bind nothing",
+				r.Slots, r.Name, slots[r.Name])
 		}
 	}
 }
--- a/internal/platform/publish/chunk.go
+++ b/internal/platform/publish/chunk.go
@@ -43,6 +43,7 @@
 			}
 			// The version is 0 for a chunk that is not there.
 			version = o.Version
+			continue
 		}
 		if p.backoff(ctx, try) != nil {
 			return errors.Wrapf(err, "chunk %s", d)
@@ -82,7 +83,7 @@
 // do not matter: they stay listed as retired, and the next publish tries again.
 func (p *Publisher) collect(ctx context.Context, h config.Head) {
 	for _, r := range h.Retired {
-		if h.Number-r.Number >= config.KeepHeads {
+		if h.Number-r.Number >= p.keep {
 			_ = p.store.Delete(ctx, r.Chunk.Key(), r.Version)
 		}
 	}
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/hex"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,6 +67,10 @@
 		sleep Sleep
 		rand  *rand.Rand
 		id    string
+		// inline is the size of the largest configuration that is not cut
+		// into chunks, keep for how many heads unused chunks stay.
+		inline int
+		keep   int64
 	}
 
 	// Sleep waits for d or until the context ends, whose error it returns.
@@ -74,7 +79,7 @@
 
 // New returns a publisher under the given publish id.
 func New(store sassafrastray.Store, sleep Sleep, r *rand.Rand, id string) *Publisher {
-	return &Publisher{store: store, sleep: sleep, rand: r, id: id}
+	return &Publisher{store: store, sleep: sleep, rand: r, id: id, inline: config.MaxInline, keep: config.KeepHeads}
 }
 
 // ID returns a publish id that names the operator and differs in each call.
@@ -120,17 +125,20 @@
 		return Verdict{Outcome: Unchanged, Number: base.Head.Number, Publish: base.Head.Publish}, nil
 	}
 	c.Number, c.Publish = base.Head.Number+1, p.id
-	h, chunks, err := config.Split(c)
+	h, chunks, err := config.Split(c, p.inline)
 	if err != nil {
 		return Verdict{}, err
 	}
-	h.History = history(base.Head)
+	h.History, h.Moves = history(base.Head), moves(base.Head, c)
 	if err := p.writeChunks(ctx, base.Head, chunks); err != nil {
 		return Verdict{Outcome: Refused, Publish: p.id, Err: err}, nil
 	}
 	if h.Retired, err = p.retire(ctx, base.Head, h); err != nil {
 		return Verdict{Outcome: Refused, Publish: p.id, Err: err}, nil
 	}
+	if n := len(h.Encode()); n > sassafrastray.MaxObject {
+		return Verdict{}, errors.Newf("the head takes %d bytes, above the store's %d", n, sassafrastray.MaxObject)
+	}
 	v := p.putHead(ctx, base, h)
 	if v.Outcome == Published {
 		p.collect(ctx, h)
@@ -155,6 +163,17 @@
 	return out[:min(len(out), config.MaxHistory)]
 }
 
+// moves returns the moves of c and those that earlier heads name.
+func moves(h config.Head, c *sassafrastray.Config) []config.MoveID {
+	out := config.Moves(c)
+	for _, m := range h.Moves {
+		if !slices.Contains(out, m) {
+			out = append(out, m)
+		}
+	}
+	return out[:min(len(out), config.MaxMoves)]
+}
+
 // putHead moves the head from the base to h. After a write without an answer
 // it reads the head back, where its own publish id tells what happened.
 func (p *Publisher) putHead(ctx context.Context, base Base, h config.Head) Verdict {
