Add the subcommands publish and key

Cause: operators had no way to publish.

Change: publish checks the files alone and against what is in force, puts them, says truthfully what became of them, and waits on request until the VMs report the number. A broken configuration in the store can be replaced.

Conclusion: publishing twice against the stand-in gives number 1 and then no new number; another example gets number 2; a store that is out ends in exit code 1.

--- a/cmd/sassafrastray/check.go
+++ b/cmd/sassafrastray/check.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/platform/document"
 )
 
 // checkCmd validates operators' files without publishing them.
@@ -23,9 +24,7 @@
 // Run checks the files.
 func (c *checkCmd) Run(std *streams) error {
 	cfg, r := config.Check(c.Dir, time.Now(), nil)
-	for _, p := range r.Sorted() {
-		fmt.Fprintln(std.err, p)
-	}
+	printReport(std, r)
 	if r.Failed() {
 		return errors.Newf("%s: %d problems", c.Dir, r.Count())
 	}
@@ -33,3 +32,9 @@
 		c.Dir, len(cfg.Services), len(cfg.Fleet.Teams), len(cfg.Fleet.Blocks))
 	return nil
 }
+
+func printReport(std *streams, r *document.Report) {
+	for _, p := range r.Sorted() {
+		fmt.Fprintln(std.err, p)
+	}
+}
--- /dev/null
+++ b/cmd/sassafrastray/key.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafrastray/internal/platform/key"
+)
+
+type (
+	// keyCmd makes keys and digests.
+	keyCmd struct {
+		New    keyNewCmd    `cmd:"" help:"Make a key and print it once."`
+		Digest keyDigestCmd `cmd:"" help:"Print the digest of a key that is read from standard input."`
+	}
+
+	keyNewCmd struct {
+		Team string `arg:"" help:"Team that the key is for."`
+	}
+
+	keyDigestCmd struct{}
+)
+
+// Help returns the long usage text.
+func (keyNewCmd) Help() string {
+	return `The key is shown this once and kept nowhere: give it to the team. Only its
+digest goes into fleet.yaml. To withdraw a key, remove its digest and publish.`
+}
+
+// Run makes a key.
+func (c *keyNewCmd) Run(std *streams) error {
+	if strings.TrimSpace(c.Team) == "" {
+		return errors.New("the team's name is empty")
+	}
+	k := key.New()
+	fmt.Fprintf(std.out, "key: %s\n", k)
+	fmt.Fprintf(std.out, "# for fleet.yaml, under teams, name: %s, keys:\n", c.Team)
+	fmt.Fprintf(std.out, "- %q\n", key.Digest(k))
+	return nil
+}
+
+// Help returns the long usage text.
+func (keyDigestCmd) Help() string {
+	return `The key is read from standard input, so that it is in no list of processes
+and no shell history.`
+}
+
+// Run prints a digest.
+func (keyDigestCmd) Run(std *streams) error {
+	line, err := bufio.NewReader(std.in).ReadString('\n')
+	k := strings.TrimSpace(line)
+	if k == "" {
+		return errors.Newf("no key on standard input: %v", err)
+	}
+	fmt.Fprintln(std.out, key.Digest(k))
+	return nil
+}
--- a/cmd/sassafrastray/main.go
+++ b/cmd/sassafrastray/main.go
@@ -13,11 +13,14 @@
 	// cli is the command line; each subcommand is in a file of its own.
 	cli struct {
 		Check   checkCmd   `cmd:"" help:"Check operators' files."`
+		Publish publishCmd `cmd:"" help:"Publish operators' files."`
+		Key     keyCmd     `cmd:"" help:"Make teams' keys."`
 		Version versionCmd `cmd:"" help:"Print the program's version."`
 	}
 
 	// streams are the standard streams, so that tests can replace them.
 	streams struct {
+		in       io.Reader
 		out, err io.Writer
 	}
 
@@ -30,7 +33,7 @@
 )
 
 func main() {
-	os.Exit(run(os.Args[1:], &streams{os.Stdout, os.Stderr}))
+	os.Exit(run(os.Args[1:], &streams{os.Stdin, os.Stdout, os.Stderr}))
 }
 
 // run parses the arguments, runs the subcommand and returns the exit code: 0
--- /dev/null
+++ b/cmd/sassafrastray/publish.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/platform/publish"
+	"sassafrastray/internal/platform/store"
+)
+
+const (
+	askTimeout = 2 * time.Second
+	statusPath = "/status"
+)
+
+// publishCmd puts operators' files into the store.
+type publishCmd struct {
+	Dir      string           `arg:"" help:"Directory with fleet.yaml and the services' files."`
+	Store    netip.AddrPort   `help:"Address of the object store." required:""`
+	Operator string           `help:"Who publishes; by default user@host." placeholder:"NAME"`
+	Timeout  time.Duration    `help:"How long to try while the store is out." default:"1m"`
+	Wait     time.Duration    `help:"How long to wait until the configuration is in force everywhere."`
+	VM       []netip.AddrPort `help:"Operations address of a VM to ask, with --wait; may be repeated." name:"vm"`
+	Repair   bool             `help:"Replace a configuration in the store that is broken."`
+}
+
+// Help returns the long usage text.
+func (publishCmd) Help() string {
+	return `Checks the files, also against the configuration in force, and publishes them
+under the next number. If another operator publishes meanwhile, nothing is
+overwritten and the exit code is 1. Publishing the same files again is safe:
+content that is in force already gets no new number.
+
+With --wait the VMs named by --vm are asked until the configuration is in
+force everywhere; if time runs out, the VMs without it are listed and the exit
+code is 1. Name a VM of each part of a divided network.`
+}
+
+// Validate checks flags that depend on each other.
+func (c *publishCmd) Validate() error {
+	if (c.Wait > 0) != (len(c.VM) > 0) {
+		return errors.New("--wait and --vm go together")
+	}
+	return nil
+}
+
+// Run publishes and waits.
+func (c *publishCmd) Run(std *streams) error {
+	// Mistakes that the files show by themselves need no store.
+	if _, r := config.Check(c.Dir, time.Now(), nil); r.Failed() {
+		printReport(std, r)
+		return errors.Newf("%s: %d problems, nothing published", c.Dir, r.Count())
+	}
+	client := store.New(c.Store, "", "publish")
+	defer client.Close()
+	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	p := publish.New(client, sleep, seed, publish.ID(c.operator(), seed))
+	ctx, stop := context.WithTimeout(context.Background(), c.Timeout)
+	defer stop()
+	v, err := c.publish(ctx, std, p)
+	if err != nil {
+		return err
+	}
+	if err := report(std, v); err != nil {
+		return err
+	}
+	if c.Wait > 0 {
+		return c.await(std, v.Number)
+	}
+	return nil
+}
+
+func (c *publishCmd) publish(ctx context.Context, std *streams, p *publish.Publisher) (publish.Verdict, error) {
+	base, err := p.Base(ctx)
+	switch {
+	case errors.Is(err, publish.ErrBroken) && c.Repair:
+		fmt.Fprintf(std.err, "warning: %v; it is replaced without comparison\n", err)
+	case errors.Is(err, publish.ErrBroken):
+		return publish.Verdict{}, errors.Newf("number %d can't be read (%v); --repair replaces it", base.Head.Number, err)
+	case err != nil:
+		return publish.Verdict{}, errors.Newf("nothing published, the store gave no answer: %v", err)
+	}
+	cfg, r := config.Check(c.Dir, time.Now(), base.Previous())
+	printReport(std, r)
+	if r.Failed() {
+		return publish.Verdict{}, errors.Newf("%s: %d problems, nothing published", c.Dir, r.Count())
+	}
+	return p.Put(ctx, base, cfg)
+}
+
+// report prints the verdict, and returns an error unless the files' content is
+// what the store holds.
+func report(std *streams, v publish.Verdict) error {
+	switch v.Outcome {
+	case publish.Published:
+		fmt.Fprintf(std.out, "configuration %d published by %s\n", v.Number, v.Publish)
+		return nil
+	case publish.Unchanged:
+		fmt.Fprintf(std.out, "configuration %d, published by %s, has this content already\n", v.Number, v.Publish)
+		return nil
+	case publish.Lost:
+		by := v.By
+		if by == "" {
+			by = "another operator"
+		}
+		return errors.Newf("number %d was published by %s meanwhile; nothing was overwritten", v.Number, by)
+	case publish.Refused:
+		return errors.Newf("nothing published, the store did not take it in time: %v", v.Err)
+	}
+	return errors.Newf("number %d may or may not be published as %s: %v; publish again to find out", v.Number, v.Publish, v.Err)
+}
+
+func (c *publishCmd) await(std *streams, number int64) error {
+	ctx, stop := context.WithTimeout(context.Background(), c.Wait)
+	defer stop()
+	p := publish.Await(ctx, askStatus, sleep, c.VM, number)
+	if p.Done() {
+		fmt.Fprintf(std.out, "configuration %d is in force on all %d VMs\n", number, p.Seen)
+		return nil
+	}
+	for _, v := range p.Behind {
+		fmt.Fprintf(std.err, "%s in %s: at number %d, heard of %v ago\n", v.Name, v.Domain, v.Config, v.Age.Round(time.Millisecond))
+	}
+	for _, vm := range p.Silent {
+		fmt.Fprintf(std.err, "%v: no answer\n", vm)
+	}
+	return errors.Newf("configuration %d is not known to be in force everywhere after %v: %d of %d VMs are behind, %d of %d asked gave no answer",
+		number, c.Wait, len(p.Behind), p.Seen, len(p.Silent), len(c.VM))
+}
+
+// askStatus reads a VM's status page.
+func askStatus(ctx context.Context, vm netip.AddrPort) (publish.Status, error) {
+	var s publish.Status
+	body, err := get(ctx, "http://"+vm.String()+statusPath, "")
+	if err != nil {
+		return s, err
+	}
+	return s, errors.Wrap(json.Unmarshal(body, &s), "status")
+}
+
+// get fetches a page. The host, if there is one, goes in its header.
+func get(ctx context.Context, url, host string) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(url)
+	if host != "" {
+		req.Header.SetHost(host)
+		req.UseHostHeader = true
+	}
+	limit := askTimeout
+	if d, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(d))
+	}
+	if err := fasthttp.DoTimeout(req, resp, limit); err != nil {
+		return nil, errors.Wrapf(err, "get %s", url)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, errors.Newf("get %s: status %d: %s", url, resp.StatusCode(), resp.Body())
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+func (c *publishCmd) operator() string {
+	if c.Operator != "" {
+		return c.Operator
+	}
+	user, host := os.Getenv("USER"), "unknown"
+	if user == "" {
+		user = "unknown"
+	}
+	if h, err := os.Hostname(); err == nil {
+		host = h
+	}
+	return user + "@" + host
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"encoding/hex"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -38,6 +38,9 @@
 	lastDelay  = 5 * time.Second
 )
 
+// ErrBroken means that what is in force can't be read, whoever tries.
+var ErrBroken = errors.New("the configuration in force is broken")
+
 type (
 	// Outcome is how a publish ended.
 	Outcome string
@@ -54,7 +57,7 @@
 	}
 
 	// Base is the head that a publish builds on. Config is nil if there is
-	// none yet.
+	// none yet, or if it can't be assembled.
 	Base struct {
 		Head    config.Head
 		Version int64
@@ -84,25 +87,34 @@
 
 // ID returns a publish id that names the operator and differs in each call.
 func ID(operator string, r *rand.Rand) string {
-	b := make([]byte, 8)
-	for i := range b {
-		b[i] = byte(r.Uint32())
-	}
-	return operator + "/" + hex.EncodeToString(b)
+	return fmt.Sprintf("%s/%016x", operator, r.Uint64())
 }
 
 // Base reads what is in force. It tries again while the store is out, until
-// the context ends.
+// the context ends. A head whose configuration can't be assembled comes back
+// with ErrBroken, and may serve as a base nevertheless.
 func (p *Publisher) Base(ctx context.Context) (Base, error) {
-	b, err := p.head(ctx)
-	if err != nil || b.Version == 0 {
-		return b, err
+	for {
+		b, err := p.head(ctx)
+		if err != nil || b.Version == 0 {
+			return b, err
+		}
+		b.Config, err = config.Assemble(b.Head, func(d config.Digest) ([]byte, error) {
+			o, err := p.get(ctx, d.Key())
+			return o.Value, err
+		})
+		if err == nil || errors.Is(err, sassafrastray.ErrUnavailable) {
+			return b, err
+		}
+		// The chunks of a head that is no longer in force may be gone.
+		now, readErr := p.head(ctx)
+		if readErr != nil {
+			return b, readErr
+		}
+		if now.Version == b.Version {
+			return b, errors.Mark(err, ErrBroken)
+		}
 	}
-	b.Config, err = config.Assemble(b.Head, func(d config.Digest) ([]byte, error) {
-		o, err := p.get(ctx, d.Key())
-		return o.Value, err
-	})
-	return b, err
 }
 
 // head reads the head without its configuration.
@@ -154,6 +166,11 @@
 	return config.Sum(a) == config.Sum(&c)
 }
 
+// Previous returns what a change on this base is judged against.
+func (b Base) Previous() *config.Previous {
+	return &config.Previous{Config: b.Config, Moves: b.Head.Moves}
+}
+
 // history returns the latest publishes up to the one that made the head.
 func history(h config.Head) []config.Entry {
 	if h.Number == 0 {
