--- a/internal/platform/key/key.go
+++ b/internal/platform/key/key.go
@@ -15,6 +15,9 @@
 // recognize one.
 const Prefix = "sk_"
 
+// MinLen is the length of the shortest string that may be a key, in bytes.
+const MinLen = 16
+
 const (
 	randomBytes = 32
 	digestLen   = 2 * sha256.Size
@@ -73,7 +76,7 @@
 
 // Team returns the team that the key belongs to. It allocates nothing.
 func (t *Table) Team(key []byte) (sassafrastray.TeamName, bool) {
-	if len(key) == 0 {
+	if len(key) < MinLen {
 		return "", false
 	}
 	team, ok := t.teams[sha256.Sum256(key)]
--- /dev/null
+++ b/internal/platform/key/strip_test.go
@@ -0,0 +1,187 @@
+package key
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"fmt"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+)
+
+// parse reads a request as a server does.
+func parse(t rapid.TB, raw string) *fasthttp.Request {
+	var req fasthttp.Request
+	if err := req.Read(bufio.NewReader(strings.NewReader(raw))); err != nil {
+		t.Fatalf("%q: %v", raw, err)
+	}
+	return &req
+}
+
+func serialize(t rapid.TB, req *fasthttp.Request) string {
+	var b bytes.Buffer
+	w := bufio.NewWriter(&b)
+	if err := req.Write(w); err != nil {
+		t.Fatal(err)
+	}
+	w.Flush()
+	return b.String()
+}
+
+// escape percent-escapes some bytes of s.
+func escape(t *rapid.T, s string) string {
+	var b strings.Builder
+	for _, c := range []byte(s) {
+		if rapid.IntRange(0, 3).Draw(t, "escaped") == 0 {
+			fmt.Fprintf(&b, "%%%02x", c)
+		} else {
+			b.WriteByte(c)
+		}
+	}
+	return b.String()
+}
+
+// hide draws a text in which a key is hidden.
+func hide(t *rapid.T, k string) string {
+	before := rapid.StringMatching(`[a-z=/]{0,6}`).Draw(t, "before")
+	after := rapid.StringMatching(`[a-z=/]{0,6}`).Draw(t, "after")
+	switch rapid.IntRange(0, 2).Draw(t, "hidden") {
+	case 0:
+		k = escape(t, k)
+	case 1:
+		k = escape(t, strings.ReplaceAll(escape(t, k), "%", "%25"))
+	}
+	return before + k + after
+}
+
+// TestNoKeySurvives sends keys in every place of a header and looks for them
+// in what is left.
+func TestNoKeySurvives(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keys := []string{"sk_0a1B2c3D4e5F6g7H8i9J_-", "legacy+key/of=16+bytes"}
+		draw := func() string { return rapid.SampledFrom(keys).Draw(t, "key") }
+		var headers, params, cookies []string
+		for range rapid.IntRange(1, 6).Draw(t, "places") {
+			switch rapid.IntRange(0, 9).Draw(t, "place") {
+			case 0:
+				scheme := rapid.SampledFrom([]string{"Bearer ", "bearer  ", "BEARER "}).Draw(t, "scheme")
+				headers = append(headers, "authorization: "+scheme+draw())
+			case 1:
+				headers = append(headers, rapid.SampledFrom([]string{"X-Api-Key", "x-api-key", "API-KEY"}).Draw(t, "name")+": "+draw())
+			case 2:
+				params = append(params, rapid.SampledFrom([]string{"key", "api_key", "%6bey"}).Draw(t, "name")+"="+url.QueryEscape(draw()))
+			case 3:
+				cookies = append(cookies, "key="+url.QueryEscape(draw())[:3]+draw())
+			case 4:
+				headers = append(headers, "Referer: http://a.example/?"+hide(t, draw()))
+			case 5:
+				headers = append(headers, rapid.SampledFrom([]string{"User-Agent", "Content-Type", "Accept", "X-Trace"}).Draw(t, "name")+": "+hide(t, draw()))
+			case 6:
+				params = append(params, "q="+hide(t, url.QueryEscape(draw())))
+			case 7:
+				cookies = append(cookies, "session="+strings.ReplaceAll(hide(t, draw()), "=", "-"))
+			case 8:
+				headers = append(headers, "Authorization: Basic "+base64.StdEncoding.EncodeToString([]byte("me:"+draw())))
+			case 9:
+				params = append(params, "page=2", "key=handle")
+			}
+		}
+		headers = append(headers, "X-Api-Key: "+keys[0], "Api-Key: "+keys[1], "X-Order: 17")
+		if len(cookies) > 0 {
+			headers = append(headers, "Cookie: lang=th; "+strings.Join(cookies, "; "))
+		}
+		uri := "/stock/a%20b"
+		if len(params) > 0 {
+			uri += "?" + strings.Join(params, "&")
+		}
+		raw := "GET " + uri + " HTTP/1.1\r\nHost: stock.example\r\n" + strings.Join(headers, "\r\n") + "\r\n\r\n"
+		req := parse(t, raw)
+		if rapid.Bool().Draw(t, "parsed") {
+			_ = req.URI().QueryArgs().Len()
+		}
+		f := Find(req)
+		if _, ok := f.Key(); !ok && !f.tooMany {
+			t.Fatalf("no key found in %q", raw)
+		}
+		if !Strip(req, f) {
+			if !f.tooMany {
+				t.Fatalf("can't be cleaned: %q", raw)
+			}
+			return
+		}
+		checkClean(t, raw, serialize(t, req), keys)
+	})
+}
+
+// checkClean fails if a key is left, whatever is escaped, or if something is
+// gone that holds none.
+func checkClean(t *rapid.T, raw, left string, keys []string) {
+	text := left
+	for range 4 {
+		for _, k := range keys {
+			if strings.Contains(text, k) {
+				t.Fatalf("key %q is left:\n%s\nof\n%s", k, left, raw)
+			}
+		}
+		text = string(unescape([]byte(text)))
+	}
+	for line := range strings.Lines(left) {
+		value, ok := strings.CutPrefix(line, "Authorization: Basic ")
+		plain, _ := base64.StdEncoding.DecodeString(strings.TrimSpace(value))
+		for _, k := range keys {
+			if ok && strings.Contains(string(plain), k) {
+				t.Fatalf("credentials hold a key: %s", line)
+			}
+		}
+	}
+	for _, want := range []string{"X-Order: 17\r\n", "Host: stock.example\r\n", "GET /stock/a%20b"} {
+		if !strings.Contains(left, want) {
+			t.Fatalf("%q is gone:\n%s\nof\n%s", want, left, raw)
+		}
+	}
+	if strings.Contains(raw, "lang=th") != strings.Contains(left, "lang=th") {
+		t.Fatalf("cookie lang is gone:\n%s\nof\n%s", left, raw)
+	}
+	if strings.Contains(raw, "page=2&key=handle") != strings.Contains(left, "page=2&key=handle") {
+		t.Fatalf("parameter page or key is gone:\n%s\nof\n%s", left, raw)
+	}
+}
+
+func TestFind(t *testing.T) {
+	const a, b = "sk_aaaaaaaaaaaaaaaa", "sk_bbbbbbbbbbbbbbbb"
+	tests := []struct{ name, raw, want string }{
+		{"none", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", ""},
+		{"bearer", "GET / HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + a + "\r\n\r\n", a},
+		{"basic", "GET / HTTP/1.1\r\nHost: h\r\nAuthorization: Basic " + a + "\r\n\r\n", ""},
+		{"bearer before header", "GET / HTTP/1.1\r\nHost: h\r\nX-Api-Key: " + b + "\r\nAuthorization: bearer " + a + "\r\n\r\n", a},
+		{"header before query", "GET /?key=" + b + " HTTP/1.1\r\nHost: h\r\nApi-Key: " + a + "\r\n\r\n", a},
+		{"query", "GET /?api_key=sk%5Faaaaaaaaaaaaaaaa#f HTTP/1.1\r\nHost: h\r\n\r\n", a},
+		{"cookie", "GET / HTTP/1.1\r\nHost: h\r\nCookie: x=1; key=" + a + "\r\n\r\n", a},
+		{"too short", "GET /?key=handle HTTP/1.1\r\nHost: h\r\n\r\n", ""},
+	}
+	for _, tt := range tests {
+		f := Find(parse(t, tt.raw))
+		if got, _ := f.Key(); string(got) != tt.want {
+			t.Errorf("%s: %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestStripRefuses has requests that can't be cleaned.
+func TestStripRefuses(t *testing.T) {
+	const k = "sk_aaaaaaaaaaaaaaaa"
+	for _, raw := range []string{
+		"GET /stock/" + k + " HTTP/1.1\r\nHost: h\r\nX-Api-Key: " + k + "\r\n\r\n",
+		"GET /stock/sk%5faaaaaaaaaaaaaaaa HTTP/1.1\r\nHost: h\r\nX-Api-Key: " + k + "\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: " + k + ".h\r\nX-Api-Key: " + k + "\r\n\r\n",
+	} {
+		req := parse(t, raw)
+		if Strip(req, Find(req)) {
+			t.Errorf("%q is called clean: %q", raw, serialize(t, req))
+		}
+	}
+}
