Keep the test of keys to requests that a server accepts

The key code is not at fault.

Ruled out: nothing.

Change: the generated requests leave Content-Type out, a table test has it. The table also holds plus signs in a query, whose guard no test needed.

Each guard removed alone makes a test fail: other headers (case 2), rounds of unescaping (2), cookies (3), credentials (5), parsed URI (7), plus signs (table).

--- a/internal/platform/key/strip_test.go
+++ b/internal/platform/key/strip_test.go
@@ -79,7 +79,7 @@
 			case 4:
 				headers = append(headers, "Referer: http://a.example/?"+hide(t, draw()))
 			case 5:
-				headers = append(headers, rapid.SampledFrom([]string{"User-Agent", "Content-Type", "Accept", "X-Trace"}).Draw(t, "name")+": "+hide(t, draw()))
+				headers = append(headers, rapid.SampledFrom([]string{"User-Agent", "Accept", "X-Trace"}).Draw(t, "name")+": "+hide(t, draw()))
 			case 6:
 				params = append(params, "q="+hide(t, url.QueryEscape(draw())))
 			case 7:
@@ -171,6 +171,33 @@
 	}
 }
 
+func TestStrip(t *testing.T) {
+	tests := []struct{ name, raw, want string }{
+		{
+			"plus signs in a query", "GET /a?key=a+key+with+spaces&b=1+2 HTTP/1.1\r\nHost: h\r\n\r\n",
+			"GET /a?b=1+2 HTTP/1.1\r\nHost: h\r\n\r\n",
+		},
+		{
+			"content type", "GET /a HTTP/1.1\r\nHost: h\r\nContent-Type: sk_aaaaaaaaaaaaaaaa\r\nApi-Key: sk_aaaaaaaaaaaaaaaa\r\n\r\n",
+			"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+		},
+		{
+			"cookie", "GET /a HTTP/1.1\r\nHost: h\r\nCookie: a=sk_aaaaaaaaaaaaaaaa; key=sk_aaaaaaaaaaaaaaaa\r\n\r\n",
+			"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+		},
+		{
+			"short values", "GET /a?key=handle HTTP/1.1\r\nHost: h\r\nAuthorization: Basic YTpi\r\n\r\n",
+			"GET /a?key=handle HTTP/1.1\r\nHost: h\r\nAuthorization: Basic YTpi\r\n\r\n",
+		},
+	}
+	for _, tt := range tests {
+		req := parse(t, tt.raw)
+		if ok := Strip(req, Find(req)); !ok || serialize(t, req) != tt.want {
+			t.Errorf("%s: %t, %q, want %q", tt.name, ok, serialize(t, req), tt.want)
+		}
+	}
+}
+
 // TestStripRefuses has requests that can't be cleaned.
 func TestStripRefuses(t *testing.T) {
 	const k = "sk_aaaaaaaaaaaaaaaa"
