--- a/cmd/sassafrastray/main.go
+++ b/cmd/sassafrastray/main.go
@@ -15,11 +15,14 @@
 		Check   checkCmd   `cmd:"" help:"Check operators' files."`
 		Serve   serveCmd   `cmd:"" help:"Run one entry VM."`
 		Status  statusCmd  `cmd:"" help:"Show the fleet as one VM sees it."`
+		Publish publishCmd `cmd:"" help:"Publish operators' files."`
+		Key     keyCmd     `cmd:"" help:"Make teams' keys."`
 		Version versionCmd `cmd:"" help:"Print the program's version."`
 	}
 
 	// streams are the standard streams, so that tests can replace them.
 	streams struct {
+		in       io.Reader
 		out, err io.Writer
 	}
 
@@ -32,7 +35,7 @@
 )
 
 func main() {
-	os.Exit(run(os.Args[1:], &streams{os.Stdout, os.Stderr}))
+	os.Exit(run(os.Args[1:], &streams{os.Stdin, os.Stdout, os.Stderr}))
 }
 
 // run parses the arguments, runs the subcommand and returns the exit code: 0
--- a/internal/fleet/vm/config.go
+++ b/internal/fleet/vm/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,10 @@
 	// for VMs that are a few behind.
 	kept = 4
 
+	// wholeInline is the size in bytes up to which a whole configuration
+	// travels uncompressed.
+	wholeInline = 64 << 10
+
 	backoffLeast = 100 * time.Millisecond
 	backoffMost  = 5 * time.Second
 )
@@ -34,14 +39,22 @@
 	// configuration is what the VM knows of the operators' configuration.
 	configuration struct {
 		current *sassafrastray.Config
-		head    config.Head
-		chunks  map[config.Digest][]byte
 		// past are the configurations before current, the newest last.
 		past []*sassafrastray.Config
 		// confirmed is when current was last known to be the newest.
 		confirmed time.Time
 		routes    *route.Table
 		keys      *key.Table
+		// encoded are the transfers of current that were asked for, by what
+		// the asker had.
+		encoded *transfers
+	}
+
+	// transfers remembers encoded configurations, because the VMs of a
+	// failure domain ask for the same ones.
+	transfers struct {
+		mu  sync.Mutex
+		all map[config.Stamp][]byte
 	}
 
 	// transfer is a configuration on its way to another VM: as a difference
@@ -51,13 +64,6 @@
 		Head       *config.Head             `json:"head,omitempty"`
 		Chunks     map[config.Digest][]byte `json:"chunks,omitempty"`
 	}
-
-	// arrival is a configuration that has been fetched and checked.
-	arrival struct {
-		config *sassafrastray.Config
-		head   config.Head
-		chunks map[config.Digest][]byte
-	}
 )
 
 // watchConfig follows the head in the store until the VM stops. Only the
@@ -142,12 +148,10 @@
 		v.log.Error("unreadable head of the configuration; the VM keeps its own", "error", err)
 		return true
 	}
-	chunks := make(map[config.Digest][]byte)
 	c, err := config.Assemble(h, func(d config.Digest) ([]byte, error) {
 		ctx, cancel := context.WithTimeout(v.ctx, storeTimeout)
 		defer cancel()
 		o, err := v.platform.Get(ctx, d.Key())
-		chunks[d] = o.Value
 		return o.Value, err
 	})
 	if err != nil {
@@ -156,7 +160,7 @@
 	}
 	asked := v.clock.Now()
 	return v.post(func(now time.Time) {
-		v.adopt(arrival{config: c, head: h, chunks: chunks}, "store", now)
+		v.adopt(c, "store", now)
 		v.confirm(asked)
 	})
 }
@@ -169,8 +173,7 @@
 }
 
 // adopt puts a configuration in force, if it is newer than the one in force.
-func (v *VM) adopt(a arrival, source string, now time.Time) {
-	c := a.config
+func (v *VM) adopt(c *sassafrastray.Config, source string, now time.Time) {
 	if old := v.conf.current; old != nil {
 		if c.Number <= old.Number {
 			return
@@ -180,7 +183,7 @@
 			v.conf.past = v.conf.past[1:]
 		}
 	}
-	v.conf.current, v.conf.head, v.conf.chunks = c, a.head, a.chunks
+	v.conf.current, v.conf.encoded = c, &transfers{all: make(map[config.Stamp][]byte)}
 	v.conf.routes, v.conf.keys = route.New(c), key.NewTable(c)
 	v.metrics.config.Set(float64(c.Number))
 	v.log.Info("configuration in force", "number", c.Number, "publish", c.Publish, "source", source)
@@ -190,37 +193,50 @@
 // Config returns the configuration for a VM that has the given stamp, or
 // false if it is not behind.
 func (v *VM) Config(have config.Stamp) ([]byte, bool) {
-	answer := make(chan *transfer, 1)
-	if !v.post(func(time.Time) { answer <- v.transfer(have) }) {
+	answer := make(chan configuration, 1)
+	if !v.post(func(time.Time) { answer <- v.conf }) {
 		return nil, false
 	}
 	select {
-	case t := <-answer:
-		if t == nil {
-			return nil, false
-		}
-		b, err := json.Marshal(t)
-		if err != nil {
-			panic("vm: a configuration can't be encoded: " + err.Error())
-		}
-		return b, true
+	case c := <-answer:
+		return c.transfer(have)
 	case <-v.ctx.Done():
 		return nil, false
 	}
 }
 
-func (v *VM) transfer(have config.Stamp) *transfer {
-	c := v.conf.current
-	if c == nil || c.Number <= have.Number {
-		return nil
+// transfer encodes the configuration. It runs outside the control goroutine,
+// because a large one takes a while.
+func (c configuration) transfer(have config.Stamp) ([]byte, bool) {
+	if c.current == nil || c.current.Number <= have.Number {
+		return nil, false
 	}
-	for _, p := range v.conf.past {
+	c.encoded.mu.Lock()
+	defer c.encoded.mu.Unlock()
+	if b := c.encoded.all[have]; b != nil {
+		return b, true
+	}
+	t, err := c.build(have)
+	if err != nil {
+		return nil, false
+	}
+	b, err := json.Marshal(t)
+	if err != nil {
+		panic("vm: a configuration can't be encoded: " + err.Error())
+	}
+	c.encoded.all[have] = b
+	return b, true
+}
+
+func (c configuration) build(have config.Stamp) (*transfer, error) {
+	for _, p := range c.past {
 		if p.Number == have.Number && config.StampOf(p) == have {
-			d := config.Diff(p, c)
-			return &transfer{Difference: &d}
+			d := config.Diff(p, c.current)
+			return &transfer{Difference: &d}, nil
 		}
 	}
-	return &transfer{Head: &v.conf.head, Chunks: v.conf.chunks}
+	h, chunks, err := config.Split(c.current, wholeInline)
+	return &transfer{Head: &h, Chunks: chunks}, err
 }
 
 // pull asks another VM for its newer configuration.
@@ -238,13 +254,13 @@
 				return
 			}
 			if a != nil {
-				v.adopt(*a, string(from.Name), now)
+				v.adopt(a, string(from.Name), now)
 			}
 		})
 	})
 }
 
-func (v *VM) pulled(from sassafrastray.VM, base *sassafrastray.Config) (*arrival, error) {
+func (v *VM) pulled(from sassafrastray.VM, base *sassafrastray.Config) (*sassafrastray.Config, error) {
 	var have config.Stamp
 	if base != nil {
 		have = config.StampOf(base)
@@ -259,15 +275,9 @@
 	}
 	switch {
 	case t.Difference != nil && base != nil:
-		c, err := config.Apply(base, *t.Difference)
-		if err != nil {
-			return nil, err
-		}
-		head, chunks, err := config.Split(c)
-		return &arrival{config: c, head: head, chunks: chunks}, err
+		return config.Apply(base, *t.Difference)
 	case t.Head != nil:
-		c, err := config.Assemble(*t.Head, func(d config.Digest) ([]byte, error) { return t.Chunks[d], nil })
-		return &arrival{config: c, head: *t.Head, chunks: t.Chunks}, err
+		return config.Assemble(*t.Head, func(d config.Digest) ([]byte, error) { return t.Chunks[d], nil })
 	}
 	return nil, errors.New("empty transfer")
 }
--- a/internal/fleet/vm/world_test.go
+++ b/internal/fleet/vm/world_test.go
@@ -200,7 +200,7 @@
 	w.config.Publish = fmt.Sprintf("test/%d", w.config.Number)
 	c := w.config
 	config.Sort(&c)
-	h, _, err := config.Split(&c)
+	h, _, err := config.Split(&c, 1<<20)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -4,8 +4,9 @@
 
 import (
 	"context"
-	"encoding/hex"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,9 @@
 	lastDelay  = 5 * time.Second
 )
 
+// ErrBroken means that what is in force can't be read, whoever tries.
+var ErrBroken = errors.New("the configuration in force is broken")
+
 type (
 	// Outcome is how a publish ended.
 	Outcome string
@@ -53,7 +57,7 @@
 	}
 
 	// Base is the head that a publish builds on. Config is nil if there is
-	// none yet.
+	// none yet, or if it can't be assembled.
 	Base struct {
 		Head    config.Head
 		Version int64
@@ -66,6 +70,10 @@
 		sleep Sleep
 		rand  *rand.Rand
 		id    string
+		// inline is the size of the largest configuration that is not cut
+		// into chunks, keep for how many heads unused chunks stay.
+		inline int
+		keep   int64
 	}
 
 	// Sleep waits for d or until the context ends, whose error it returns.
@@ -74,30 +82,39 @@
 
 // New returns a publisher under the given publish id.
 func New(store sassafrastray.Store, sleep Sleep, r *rand.Rand, id string) *Publisher {
-	return &Publisher{store: store, sleep: sleep, rand: r, id: id}
+	return &Publisher{store: store, sleep: sleep, rand: r, id: id, inline: config.MaxInline, keep: config.KeepHeads}
 }
 
 // ID returns a publish id that names the operator and differs in each call.
 func ID(operator string, r *rand.Rand) string {
-	b := make([]byte, 8)
-	for i := range b {
-		b[i] = byte(r.Uint32())
-	}
-	return operator + "/" + hex.EncodeToString(b)
+	return fmt.Sprintf("%s/%016x", operator, r.Uint64())
 }
 
 // Base reads what is in force. It tries again while the store is out, until
-// the context ends.
+// the context ends. A head whose configuration can't be assembled comes back
+// with ErrBroken, and may serve as a base nevertheless.
 func (p *Publisher) Base(ctx context.Context) (Base, error) {
-	b, err := p.head(ctx)
-	if err != nil || b.Version == 0 {
-		return b, err
-	}
-	b.Config, err = config.Assemble(b.Head, func(d config.Digest) ([]byte, error) {
-		o, err := p.get(ctx, d.Key())
-		return o.Value, err
-	})
-	return b, err
+	for {
+		b, err := p.head(ctx)
+		if err != nil || b.Version == 0 {
+			return b, err
+		}
+		b.Config, err = config.Assemble(b.Head, func(d config.Digest) ([]byte, error) {
+			o, err := p.get(ctx, d.Key())
+			return o.Value, err
+		})
+		if err == nil || errors.Is(err, sassafrastray.ErrUnavailable) {
+			return b, err
+		}
+		// The chunks of a head that is no longer in force may be gone.
+		now, readErr := p.head(ctx)
+		if readErr != nil {
+			return b, readErr
+		}
+		if now.Version == b.Version {
+			return b, errors.Mark(err, ErrBroken)
+		}
+	}
 }
 
 // head reads the head without its configuration.
@@ -120,17 +137,20 @@
 		return Verdict{Outcome: Unchanged, Number: base.Head.Number, Publish: base.Head.Publish}, nil
 	}
 	c.Number, c.Publish = base.Head.Number+1, p.id
-	h, chunks, err := config.Split(c)
+	h, chunks, err := config.Split(c, p.inline)
 	if err != nil {
 		return Verdict{}, err
 	}
-	h.History = history(base.Head)
+	h.History, h.Moves = history(base.Head), moves(base.Head, c)
 	if err := p.writeChunks(ctx, base.Head, chunks); err != nil {
 		return Verdict{Outcome: Refused, Publish: p.id, Err: err}, nil
 	}
 	if h.Retired, err = p.retire(ctx, base.Head, h); err != nil {
 		return Verdict{Outcome: Refused, Publish: p.id, Err: err}, nil
 	}
+	if n := len(h.Encode()); n > sassafrastray.MaxObject {
+		return Verdict{}, errors.Newf("the head takes %d bytes, above the store's %d", n, sassafrastray.MaxObject)
+	}
 	v := p.putHead(ctx, base, h)
 	if v.Outcome == Published {
 		p.collect(ctx, h)
@@ -146,6 +166,11 @@
 	return config.Sum(a) == config.Sum(&c)
 }
 
+// Previous returns what a change on this base is judged against.
+func (b Base) Previous() *config.Previous {
+	return &config.Previous{Config: b.Config, Moves: b.Head.Moves}
+}
+
 // history returns the latest publishes up to the one that made the head.
 func history(h config.Head) []config.Entry {
 	if h.Number == 0 {
@@ -155,6 +180,17 @@
 	return out[:min(len(out), config.MaxHistory)]
 }
 
+// moves returns the moves of c and those that earlier heads name.
+func moves(h config.Head, c *sassafrastray.Config) []config.MoveID {
+	out := config.Moves(c)
+	for _, m := range h.Moves {
+		if !slices.Contains(out, m) {
+			out = append(out, m)
+		}
+	}
+	return out[:min(len(out), config.MaxMoves)]
+}
+
 // putHead moves the head from the base to h. After a write without an answer
 // it reads the head back, where its own publish id tells what happened.
 func (p *Publisher) putHead(ctx context.Context, base Base, h config.Head) Verdict {
--- a/internal/traffic/entry/handler.go
+++ b/internal/traffic/entry/handler.go
@@ -170,7 +170,8 @@
 
 // identify finds the team of the request's key and removes the key.
 func (h *Handler) identify(in *inbound, s *Snapshot) *refusal {
-	k := key.Find(&in.ctx.Request.Header)
+	found := key.Find(&in.ctx.Request)
+	k, _ := found.Key()
 	team, ok := s.Keys.Team(k)
 	if !ok {
 		return notRun(sassafrastray.ReasonKey, "")
@@ -183,7 +184,9 @@
 		return notRun(sassafrastray.ReasonTeam, string(team))
 	}
 	in.team, in.weight, in.digest = team, a.Weight, key.Digest(string(k))
-	key.Strip(&in.ctx.Request.Header, k)
+	if !key.Strip(&in.ctx.Request, found) {
+		return notRun(sassafrastray.ReasonKey, "the key is where it can't be removed")
+	}
 	in.path = string(in.ctx.Request.Header.RequestURI())
 	return nil
 }
