--- a/internal/fleet/vm/path_test.go
+++ b/internal/fleet/vm/path_test.go
@@ -49,7 +49,7 @@
 			serial++
 			r := request{path: "/orders", order: fmt.Sprintf("o%d", serial)}
 			r.method = rapid.SampledFrom([]string{"GET", "POST"}).Draw(rt, "method")
-			r.key = rapid.SampledFrom([]string{goodKey, goodKey, goodKey, otherKey, "sk_test_unknown", ""}).Draw(rt, "key")
+			r.key = rapid.SampledFrom([]string{goodKey, goodKey, goodKey, otherKey, "sk_test_unknown_0123456789", ""}).Draw(rt, "key")
 			if r.method == "POST" {
 				r.body = make([]byte, rapid.SampledFrom([]int{0, 100, 20000}).Draw(rt, "size"))
 			}
--- a/internal/fleet/vm/world_test.go
+++ b/internal/fleet/vm/world_test.go
@@ -99,8 +99,8 @@
 }
 
 const (
-	goodKey  = "sk_test_good"
-	otherKey = "sk_test_other"
+	goodKey  = "sk_test_good_0123456789"
+	otherKey = "sk_test_other_0123456789"
 	host     = "orders.test.example"
 )
 
