Keep VMs that have no quota yet out of the look-ups

Cause: for 13 s after its start a VM refuses every request for its quota (place's quarantine 3.1 s, settling of the first configuration 10 s), and for the first 3 s it keeps no backend server: 7 answers 502 and 10 answers 429 in a row of 40 requests to a VM of a fresh fleet. Ruled out: a shorter quarantine or settling; both are what keeps a share from being used twice. Change: heartbeats and /ready say whether a VM has quota; look-ups leave out the others while some VM has it. A VM without a place counts as ready after 20 s and lives on loans. Conclusion: callers are not sent to a starting VM; the refusals on a fleet that starts as a whole stay.

--- a/internal/fleet/peer/message.go
+++ b/internal/fleet/peer/message.go
@@ -51,6 +51,8 @@
 		// Confirmed is how long ago the VM last knew that its configuration
 		// is the newest, in milliseconds.
 		Confirmed int64 `json:"confirmed"`
+		// Ready tells that callers may be sent to the VM.
+		Ready bool `json:"ready,omitempty"`
 		// Loads, Holdings and Drains tell of the backend servers that the VM
 		// keeps.
 		Loads    []keeper.Load               `json:"loads,omitempty"`
--- a/internal/fleet/vm/beat.go
+++ b/internal/fleet/vm/beat.go
@@ -63,7 +63,7 @@
 // heartbeat is what the VM tells about itself.
 func (v *VM) heartbeat(now time.Time) *peer.Heartbeat {
 	v.sequence++
-	h := &peer.Heartbeat{VM: v.self, Inc: v.inc, Sequence: v.sequence}
+	h := &peer.Heartbeat{VM: v.self, Inc: v.inc, Sequence: v.sequence, Ready: v.ready(now)}
 	h.VM.State = v.state
 	if c := v.conf.current; c != nil {
 		h.Config = c.Number
--- a/internal/fleet/vm/publish.go
+++ b/internal/fleet/vm/publish.go
@@ -65,7 +65,8 @@
 	seen := make([]seenVM, 0, len(view)+1)
 	for _, m := range view {
 		region := c.RegionOf(m.VM.Domain)
-		seen = append(seen, seenVM{VM: m.VM, Region: region, Weight: v.weight(m.VM.Name), Suspect: m.Suspect})
+		ready := v.beats[m.VM.Name] != nil && v.beats[m.VM.Name].Ready
+		seen = append(seen, seenVM{VM: m.VM, Region: region, Weight: 1, Suspect: m.Suspect || !ready})
 		if m.Suspect {
 			continue
 		}
@@ -77,7 +78,7 @@
 	self := v.self
 	self.State = v.state
 	region := c.RegionOf(self.Domain)
-	seen = append(seen, seenVM{VM: self, Region: region, Weight: v.weight(self.Name)})
+	seen = append(seen, seenVM{VM: self, Region: region, Weight: 1, Suspect: !v.ready(now)})
 	if v.state == sassafrastray.Live {
 		live = append(live, keeper.Member{VM: self.Name, Domain: self.Domain, Region: region})
 	}
@@ -94,9 +95,6 @@
 	})
 }
 
-// weight is a VM's share of the callers among its neighbours.
-func (v *VM) weight(sassafrastray.VMName) int { return 1 }
-
 // loads returns the loads of all live VMs, this one's included.
 func (v *VM) loads(now time.Time) []keeper.Load {
 	out := v.gate.Load()
--- a/internal/fleet/vm/status.go
+++ b/internal/fleet/vm/status.go
@@ -26,6 +26,7 @@
 		VMs    []Fellow      `json:"vms"`
 		Moves  []move.Report `json:"moves"`
 		Place  string        `json:"place"`
+		Ready  bool          `json:"ready"`
 		Quotas []quota.Share `json:"quotas"`
 		Loads  []keeper.Load `json:"loads"`
 	}
@@ -89,11 +90,11 @@
 		case "/metrics":
 			prom(ctx)
 		case "/live":
-			v.live(ctx)
+			v.answerLive(ctx)
 		case "/ready":
-			v.ready(ctx)
+			v.answerReady(ctx)
 		case "/status":
-			v.status(ctx)
+			v.answerStatus(ctx)
 		case "/faults/cut":
 			v.cut(ctx)
 		default:
@@ -102,8 +103,8 @@
 	}
 }
 
-// live answers whether the control goroutine still works.
-func (v *VM) live(ctx *fasthttp.RequestCtx) {
+// answerLive tells whether the control goroutine still works.
+func (v *VM) answerLive(ctx *fasthttp.RequestCtx) {
 	if _, ok := v.report(); !ok {
 		ctx.Error("the control loop does not answer", fasthttp.StatusServiceUnavailable)
 		return
@@ -111,8 +112,8 @@
 	ctx.SetBodyString("live\n")
 }
 
-// ready answers whether callers may be sent here.
-func (v *VM) ready(ctx *fasthttp.RequestCtx) {
+// answerReady tells whether callers may be sent here.
+func (v *VM) answerReady(ctx *fasthttp.RequestCtx) {
 	s, ok := v.report()
 	switch {
 	case !ok:
@@ -121,12 +122,14 @@
 		ctx.Error("no configuration yet", fasthttp.StatusServiceUnavailable)
 	case s.VMs[0].State == string(sassafrastray.Leaving):
 		ctx.Error("leaving", fasthttp.StatusServiceUnavailable)
+	case !s.Ready:
+		ctx.Error("no quota yet", fasthttp.StatusServiceUnavailable)
 	default:
 		ctx.SetBodyString("ready\n")
 	}
 }
 
-func (v *VM) status(ctx *fasthttp.RequestCtx) {
+func (v *VM) answerStatus(ctx *fasthttp.RequestCtx) {
 	s, ok := v.report()
 	if !ok {
 		ctx.Error("the control loop does not answer", fasthttp.StatusServiceUnavailable)
@@ -157,7 +160,7 @@
 }
 
 func (v *VM) statusNow(now time.Time) *Status {
-	s := &Status{VM: v.self.Name, Place: string(v.place.State()), Moves: v.mover.Status(now)}
+	s := &Status{VM: v.self.Name, Place: string(v.place.State()), Ready: v.ready(now), Moves: v.mover.Status(now)}
 	own := Fellow{Name: v.self.Name, Domain: v.self.Domain, State: string(v.state), Confirmed: -1}
 	if c := v.conf.current; c != nil {
 		s.Config, own.Config = c.Number, c.Number
--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -44,6 +44,10 @@
 	callTimeout  = time.Second
 	storeTimeout = 3 * time.Second
 
+	// readyAfter is when a VM that got no place serves callers all the same,
+	// with what other VMs lend it.
+	readyAfter = 20 * time.Second
+
 	// workers bounds the calls to other VMs, the store and backend servers
 	// that run at once.
 	workers = 256
@@ -67,6 +71,7 @@
 		set      *settings.Settings
 		self     sassafrastray.VM
 		inc      sassafrastray.Incarnation
+		began    time.Time
 		clock    sassafrastray.Clock
 		log      *slog.Logger
 		platform Platform
@@ -115,7 +120,7 @@
 		return nil, errors.Wrap(err, "vm: worker pool")
 	}
 	v := &VM{
-		set: set, self: self, inc: inc, clock: clock, log: log, platform: platform,
+		set: set, self: self, inc: inc, began: now, clock: clock, log: log, platform: platform,
 		registry: prometheus.NewRegistry(),
 		work:     work, tasks: make(chan task, taskQueue),
 		state:   sassafrastray.Live,
@@ -214,6 +219,17 @@
 	return true
 }
 
+// ready reports whether callers may be sent to this VM: it has a configuration,
+// and quota to admit requests with.
+func (v *VM) ready(now time.Time) bool {
+	if v.conf.current == nil {
+		return false
+	}
+	active := false
+	v.quotas.do(func(b *quota.Book, _ time.Time) { active = b.Active() })
+	return active || now.Sub(v.began) > readyAfter
+}
+
 // tick does what time brings.
 func (v *VM) tick(now time.Time) {
 	v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) { return k.Tick(now) })
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -164,6 +164,9 @@
 // have taken its place over. The base share stays unused until Hold is called.
 func (b *Book) Suspended() bool { return b.suspended }
 
+// Active tells whether the VM uses the share of a place.
+func (b *Book) Active() bool { return b.active }
+
 // forgetLent drops the loans that the VM gave as holder of another place. They
 // count against that place, whose next holder waits until they have lapsed.
 func (b *Book) forgetLent() {
