Answer look-ups from a shared prefix table

Cause: callers ask which VMs to use.

Ruled out: encoding every answer at once: 200 sites and 100 services have 20,000, most of which nobody asks for before the next heartbeat.

Change: the package lookup has the table of clients' blocks, the answers and their explanation.

--- /dev/null
+++ b/internal/traffic/lookup/explain.go
@@ -0,0 +1,97 @@
+package lookup
+
+import (
+	"net/netip"
+	"time"
+
+	"sassafrastray"
+)
+
+type (
+	// Explanation tells how an answer comes about.
+	Explanation struct {
+		Answer Answer     `json:"answer"`
+		Caller netip.Addr `json:"caller"`
+		// Block holds the caller. It is empty if none does, and Near is then
+		// the region of the answering VM.
+		Block string                   `json:"block,omitempty"`
+		Near  sassafrastray.RegionName `json:"near"`
+		// Chosen is the region of the VMs in the answer.
+		Chosen sassafrastray.RegionName `json:"chosen"`
+		// Regions are in the order in which they are tried.
+		Regions []Candidate `json:"regions"`
+	}
+
+	// Candidate is a region that may serve a caller.
+	Candidate struct {
+		Region sassafrastray.RegionName `json:"region"`
+		// Delay is that of the link from the caller's region, in
+		// nanoseconds; -1 if there is none.
+		Delay time.Duration `json:"delay"`
+		VMs   []Reason      `json:"vms"`
+	}
+
+	// Reason tells whether a VM is in the answer, and why.
+	Reason struct {
+		Name  sassafrastray.VMName `json:"name"`
+		Named bool                 `json:"named"`
+		Why   string               `json:"why"`
+	}
+)
+
+// Explain returns the answer for a caller and how it comes about. It is false
+// if there is no such service.
+func (s *Snapshot) Explain(service sassafrastray.ServiceName, caller netip.Addr) (Explanation, bool) {
+	if _, ok := s.services[service]; !ok {
+		return Explanation{}, false
+	}
+	e := Explanation{Caller: caller, Near: s.region(caller)}
+	if b, ok := s.in.Table.Block(caller); ok {
+		e.Block = b.Prefix.String()
+	}
+	vms, chosen := s.choose(service, e.Near)
+	e.Chosen = chosen
+	e.Answer = Answer{service, s.in.Config.Number, s.ttl(), vms}
+	named := map[sassafrastray.VMName]bool{}
+	for _, v := range vms {
+		named[v.Name] = true
+	}
+	for _, r := range s.order(e.Near) {
+		e.Regions = append(e.Regions, s.candidate(e.Near, r, chosen, named))
+	}
+	return e, true
+}
+
+func (s *Snapshot) candidate(near, r, chosen sassafrastray.RegionName, named map[sassafrastray.VMName]bool) Candidate {
+	c := Candidate{Region: r, Delay: -1}
+	if l := s.in.Config.Link(near, r); l != nil {
+		c.Delay = l.Delay
+	} else if near == r {
+		c.Delay = 0
+	}
+	for _, m := range s.members[r] {
+		c.VMs = append(c.VMs, Reason{m.VM.Name, named[m.VM.Name], m.why(r == chosen, named[m.VM.Name])})
+	}
+	return c
+}
+
+// why tells in words why a VM is named or not.
+func (m Member) why(chosen, named bool) string {
+	switch {
+	case named && m.Suspect:
+		return "suspect, but no region has a VM that is not"
+	case named && m.Weight <= 0:
+		return "no headroom, but nor have the others of its region"
+	case named:
+		return "live"
+	case m.VM.State != sassafrastray.Live:
+		return string(m.VM.State)
+	case m.Suspect:
+		return "suspect"
+	case !chosen:
+		return "a nearer region has VMs"
+	case m.Weight <= 0:
+		return "no headroom"
+	}
+	return "enough others"
+}
--- /dev/null
+++ b/internal/traffic/lookup/lookup_test.go
@@ -0,0 +1,231 @@
+package lookup
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+
+	"sassafrastray"
+)
+
+// drawInput draws a fleet of three regions, whose links may be missing.
+func drawInput(t *rapid.T) Input {
+	c := &sassafrastray.Config{Number: 7, Services: []sassafrastray.Service{{Name: "orders"}}}
+	regions := []sassafrastray.RegionName{"a", "b", "c"}
+	for _, r := range regions {
+		c.Fleet.Regions = append(c.Fleet.Regions, sassafrastray.Region{Name: r})
+		for _, to := range regions {
+			if r != to && rapid.IntRange(0, 4).Draw(t, "linked") > 0 {
+				d := time.Duration(rapid.IntRange(1, 3).Draw(t, "delay")) * time.Millisecond
+				c.Fleet.Links = append(c.Fleet.Links, sassafrastray.Link{From: r, To: to, Delay: d})
+			}
+		}
+	}
+	blocks := []sassafrastray.Block{
+		{Prefix: netip.MustParsePrefix("10.1.0.0/16"), Region: "a"},
+		{Prefix: netip.MustParsePrefix("10.2.0.0/16"), Region: "b"},
+		{Prefix: netip.MustParsePrefix("10.3.0.0/16"), Region: "c"},
+	}
+	in := Input{Config: c, Table: NewTable(blocks), TTL: 5 * time.Second, Home: "b"}
+	for i := range rapid.IntRange(0, 24).Draw(t, "members") {
+		state := rapid.SampledFrom([]sassafrastray.VMState{sassafrastray.Live, sassafrastray.Live, sassafrastray.Leaving}).Draw(t, "state")
+		in.Members = append(in.Members, Member{
+			VM: sassafrastray.VM{
+				Name: sassafrastray.VMName(fmt.Sprint("vm", i)), State: state,
+				Callers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 80),
+			},
+			Region:  rapid.SampledFrom(regions[:rapid.IntRange(1, 3).Draw(t, "spread")]).Draw(t, "region"),
+			Weight:  rapid.IntRange(0, 3).Draw(t, "weight"),
+			Suspect: rapid.Bool().Draw(t, "suspect"),
+		})
+	}
+	return in
+}
+
+// TestAnswer checks what an answer must hold for any fleet.
+func TestAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t)
+		s := Build(in)
+		near := rapid.SampledFrom([]sassafrastray.RegionName{"a", "b", "c"}).Draw(t, "near")
+		caller := map[sassafrastray.RegionName]string{"a": "10.1.9.9", "b": "192.0.2.1", "c": "::ffff:10.3.0.1"}[near]
+		b, ok := s.Answer("orders", netip.MustParseAddr(caller))
+		again, _ := s.Answer("orders", netip.MustParseAddr(caller))
+		if string(b) != string(again) {
+			t.Fatalf("%s, then %s", b, again)
+		}
+		live := 0
+		members := map[sassafrastray.VMName]Member{}
+		for _, m := range in.Members {
+			members[m.VM.Name] = m
+			if m.VM.State == sassafrastray.Live {
+				live++
+			}
+		}
+		if ok != (live > 0) {
+			t.Fatalf("%d VMs live, answer %t", live, ok)
+		}
+		if !ok {
+			return
+		}
+		checkAnswer(t, in, near, b, members)
+	})
+}
+
+// checkAnswer fails if the answer names a wrong VM, or leaves out a better one.
+func checkAnswer(t *rapid.T, in Input, near sassafrastray.RegionName, b []byte, members map[sassafrastray.VMName]Member) {
+	var a Answer
+	if err := json.Unmarshal(b, &a); err != nil {
+		t.Fatal(err)
+	}
+	if a.Service != "orders" || a.Config != 7 || a.TTL != 5 || len(a.VMs) == 0 || len(a.VMs) > maxVMs {
+		t.Fatalf("%+v", a)
+	}
+	first := members[a.VMs[0].Name]
+	for _, v := range a.VMs {
+		m := members[v.Name]
+		if m.VM.State != sassafrastray.Live || m.VM.Callers != v.Address || v.Weight < 1 || m.Region != first.Region {
+			t.Fatalf("%+v names %+v", a, m)
+		}
+	}
+	distance := func(r sassafrastray.RegionName) time.Duration {
+		if r == near {
+			return 0
+		}
+		if l := in.Config.Link(near, r); l != nil {
+			return l.Delay
+		}
+		return time.Hour
+	}
+	trusted, anyTrusted := 0, false
+	for _, m := range in.Members {
+		if m.VM.State != sassafrastray.Live {
+			continue
+		}
+		anyTrusted = anyTrusted || !m.Suspect
+		if m.Region == first.Region && !m.Suspect && m.Weight > 0 {
+			trusted++
+		}
+	}
+	for _, m := range in.Members {
+		if m.VM.State == sassafrastray.Live && (!m.Suspect || !anyTrusted) && distance(m.Region) < distance(first.Region) {
+			t.Fatalf("%+v names region %s though %+v is nearer", a, first.Region, m)
+		}
+	}
+	for _, v := range a.VMs {
+		if m := members[v.Name]; m.Suspect && anyTrusted || trusted > 0 && m.Weight == 0 {
+			t.Fatalf("%+v names %+v though there are better ones", a, m)
+		}
+	}
+	if anyTrusted && trusted > 0 && len(a.VMs) != min(trusted, maxVMs) {
+		t.Fatalf("%+v leaves out some of %d VMs", a, trusted)
+	}
+}
+
+func TestAnswerOfUnknownService(t *testing.T) {
+	s := Build(Input{Config: &sassafrastray.Config{}, Table: NewTable(nil)})
+	if b, ok := s.Answer("nothing", netip.Addr{}); ok {
+		t.Errorf("%s", b)
+	}
+}
+
+// TestLimit has a large region, whose services use all VMs together.
+func TestLimit(t *testing.T) {
+	used := map[sassafrastray.VMName]bool{}
+	for i := range 50 {
+		var vms []VM
+		for j := range 40 {
+			vms = append(vms, VM{Name: sassafrastray.VMName(fmt.Sprint("vm", j))})
+		}
+		got := limit(sassafrastray.ServiceName(fmt.Sprint("service", i)), vms)
+		if len(got) != maxVMs {
+			t.Fatalf("%d VMs", len(got))
+		}
+		for _, v := range got {
+			used[v.Name] = true
+		}
+	}
+	if len(used) != 40 {
+		t.Errorf("only %d VMs are used", len(used))
+	}
+}
+
+// largeInput is a fleet of 200 sites, 1,400 VMs, 100 services and 150,000
+// blocks of clients.
+func largeInput() Input {
+	c := &sassafrastray.Config{}
+	for i := range 200 {
+		c.Fleet.Regions = append(c.Fleet.Regions, sassafrastray.Region{Name: sassafrastray.RegionName(fmt.Sprint("site-", i))})
+	}
+	for i := range 100 {
+		c.Services = append(c.Services, sassafrastray.Service{Name: sassafrastray.ServiceName(fmt.Sprint("service-", i))})
+	}
+	in := Input{Config: c, Table: NewTable(manyBlocks(150_000)), TTL: 5 * time.Second, Home: "site-0"}
+	for i := range 1400 {
+		in.Members = append(in.Members, Member{
+			VM:     sassafrastray.VM{Name: sassafrastray.VMName(fmt.Sprint("vm", i)), State: sassafrastray.Live},
+			Region: sassafrastray.RegionName(fmt.Sprint("site-", i%200)), Weight: 10,
+		})
+	}
+	return in
+}
+
+// BenchmarkAnswer asks for answers that have been asked for before.
+func BenchmarkAnswer(b *testing.B) {
+	in := largeInput()
+	s := Build(in)
+	var addrs []netip.Addr
+	for p := range in.Table.blocks.All() {
+		addrs = append(addrs, p.Addr())
+	}
+	for i, a := range addrs {
+		s.Answer(in.Config.Services[i%100].Name, a)
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		s.Answer(in.Config.Services[i%100].Name, addrs[i%len(addrs)])
+		i++
+	}
+}
+
+// BenchmarkFirstAnswer asks each time for an answer that nobody asked for.
+func BenchmarkFirstAnswer(b *testing.B) {
+	s := Build(largeInput())
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		s.encode("service-1", s.in.Config.Fleet.Regions[i%200].Name)
+		i++
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	in := largeInput()
+	b.ReportAllocs()
+	for b.Loop() {
+		Build(in)
+	}
+}
+
+// BenchmarkHandle answers look-ups over HTTP, without the connection.
+func BenchmarkHandle(b *testing.B) {
+	s := Build(largeInput())
+	var ctx fasthttp.RequestCtx
+	ctx.Init(&fasthttp.Request{}, &net.TCPAddr{IP: net.IPv4(10, 1, 2, 3)}, nil)
+	ctx.Request.SetRequestURI(Path + "?service=service-1")
+	b.ReportAllocs()
+	for b.Loop() {
+		ctx.Response.Reset()
+		Handle(&ctx, s, false)
+	}
+	if ctx.Response.StatusCode() != fasthttp.StatusOK {
+		b.Fatal(ctx.Response.String())
+	}
+}
