--- a/cmd/sassafrastray/main.go
+++ b/cmd/sassafrastray/main.go
@@ -15,6 +15,7 @@
 		Check   checkCmd   `cmd:"" help:"Check operators' files."`
 		Publish publishCmd `cmd:"" help:"Publish operators' files."`
 		Key     keyCmd     `cmd:"" help:"Make teams' keys."`
+		Lookup  lookupCmd  `cmd:"" help:"Show what a caller is told to use."`
 		Version versionCmd `cmd:"" help:"Print the program's version."`
 	}
 
--- a/cmd/sassafrastray/publish.go
+++ b/cmd/sassafrastray/publish.go
@@ -140,23 +140,19 @@
 // askStatus reads a VM's status page.
 func askStatus(ctx context.Context, vm netip.AddrPort) (publish.Status, error) {
 	var s publish.Status
-	body, err := get(ctx, "http://"+vm.String()+statusPath, "")
+	body, err := get(ctx, "http://"+vm.String()+statusPath)
 	if err != nil {
 		return s, err
 	}
 	return s, errors.Wrap(json.Unmarshal(body, &s), "status")
 }
 
-// get fetches a page. The host, if there is one, goes in its header.
-func get(ctx context.Context, url, host string) ([]byte, error) {
+// get fetches a page.
+func get(ctx context.Context, url string) ([]byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(url)
-	if host != "" {
-		req.Header.SetHost(host)
-		req.UseHostHeader = true
-	}
 	limit := askTimeout
 	if d, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(d))
