--- a/cmd/sassafrastray/main.go
+++ b/cmd/sassafrastray/main.go
@@ -17,6 +17,7 @@
 		Status  statusCmd  `cmd:"" help:"Show the fleet as one VM sees it."`
 		Publish publishCmd `cmd:"" help:"Publish operators' files."`
 		Key     keyCmd     `cmd:"" help:"Make teams' keys."`
+		Lookup  lookupCmd  `cmd:"" help:"Show what a caller is told to use."`
 		Version versionCmd `cmd:"" help:"Print the program's version."`
 	}
 
