Wire the look-ups of the prefix table into the VMs

Cause: the VM answered look-ups with a placeholder that named all VMs. Change: answers come from the lookup package; the table is changed by the difference of two configurations; answers stay encoded until the VMs or the configuration change. Operators ask with an address and for an explanation at the operations listener.

--- a/internal/fleet/vm/config.go
+++ b/internal/fleet/vm/config.go
@@ -11,6 +11,7 @@
 	"sassafrastray"
 	"sassafrastray/internal/platform/config"
 	"sassafrastray/internal/platform/key"
+	"sassafrastray/internal/traffic/lookup"
 	"sassafrastray/internal/traffic/route"
 )
 
@@ -45,6 +46,7 @@
 		confirmed time.Time
 		routes    *route.Table
 		keys      *key.Table
+		table     *lookup.Table
 		// encoded are the transfers of current that were asked for, by what
 		// the asker had.
 		encoded *transfers
@@ -174,7 +176,8 @@
 
 // adopt puts a configuration in force, if it is newer than the one in force.
 func (v *VM) adopt(c *sassafrastray.Config, source string, now time.Time) {
-	if old := v.conf.current; old != nil {
+	old := v.conf.current
+	if old != nil {
 		if c.Number <= old.Number {
 			return
 		}
@@ -185,6 +188,7 @@
 	}
 	v.conf.current, v.conf.encoded = c, &transfers{all: make(map[config.Stamp][]byte)}
 	v.conf.routes, v.conf.keys = route.New(c), key.NewTable(c)
+	v.conf.table = tableFor(old, c, v.conf.table)
 	v.metrics.config.Set(float64(c.Number))
 	v.log.Info("configuration in force", "number", c.Number, "publish", c.Publish, "source", source)
 	v.configure(now)
--- a/internal/fleet/vm/lookups.go
+++ b/internal/fleet/vm/lookups.go
@@ -1,42 +1,33 @@
 package vm
 
 import (
-	"encoding/json"
-	"net/netip"
+	"slices"
 
 	"sassafrastray"
-	"sassafrastray/internal/traffic/entry"
+	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/traffic/lookup"
 )
 
-type seenVM struct {
-	VM      sassafrastray.VM
-	Region  sassafrastray.RegionName
-	Weight  int
-	Suspect bool
-}
-type answers map[sassafrastray.ServiceName][]byte
-
-func (a answers) Answer(s sassafrastray.ServiceName, _ netip.Addr) ([]byte, bool) {
-	b, ok := a[s]
-	return b, ok
+// lookups returns the answers to look-ups. They are made anew only when the
+// configuration or the VMs have changed, because each snapshot keeps its
+// encoded answers.
+func (v *VM) lookups(members []lookup.Member, home sassafrastray.RegionName) *lookup.Snapshot {
+	if v.answers != nil && v.answersOf == v.conf.current && slices.Equal(members, v.named) {
+		return v.answers
+	}
+	v.answersOf, v.named = v.conf.current, members
+	v.answers = lookup.Build(lookup.Input{
+		Config: v.conf.current, Table: v.conf.table, Members: members, TTL: v.set.Timing.TTL, Home: home,
+	})
+	return v.answers
 }
 
-func (v *VM) lookups(seen []seenVM) entry.Lookups {
-	type line struct {
-		Name    sassafrastray.VMName `json:"name"`
-		Address netip.AddrPort       `json:"address"`
-		Weight  int                  `json:"weight"`
-	}
-	a := answers{}
-	for _, s := range v.conf.current.Services {
-		var ls []line
-		for _, m := range seen {
-			if !m.Suspect && m.VM.State == sassafrastray.Live {
-				ls = append(ls, line{m.VM.Name, m.VM.Callers, 1})
-			}
-		}
-		b, _ := json.Marshal(map[string]any{"service": s.Name, "config": v.conf.current.Number, "ttl": v.set.Timing.TTL.Seconds(), "vms": ls})
-		a[s.Name] = b
+// tableFor returns the table of blocks for a new configuration. The old one is
+// changed where possible, since most changes leave nearly all blocks alone.
+func tableFor(old, c *sassafrastray.Config, table *lookup.Table) *lookup.Table {
+	if table == nil {
+		return lookup.NewTable(c.Fleet.Blocks)
 	}
-	return a
+	d := config.Diff(old, c)
+	return table.Change(d.Blocks, d.Dropped)
 }
--- a/internal/fleet/vm/publish.go
+++ b/internal/fleet/vm/publish.go
@@ -9,6 +9,7 @@
 	"sassafrastray/internal/rollout/evidence"
 	"sassafrastray/internal/traffic/entry"
 	"sassafrastray/internal/traffic/keeper"
+	"sassafrastray/internal/traffic/lookup"
 )
 
 // configure tells all parts about the configuration in force.
@@ -62,11 +63,11 @@
 	view := v.members.View(now)
 	vms := make(map[sassafrastray.VMName]sassafrastray.VM, len(view))
 	live := make([]keeper.Member, 0, len(view)+1)
-	seen := make([]seenVM, 0, len(view)+1)
+	seen := make([]lookup.Member, 0, len(view)+1)
 	for _, m := range view {
 		region := c.RegionOf(m.VM.Domain)
 		ready := v.beats[m.VM.Name] != nil && v.beats[m.VM.Name].Ready
-		seen = append(seen, seenVM{VM: m.VM, Region: region, Weight: 1, Suspect: m.Suspect || !ready})
+		seen = append(seen, lookup.Member{VM: m.VM, Region: region, Weight: weight(ready), Suspect: m.Suspect})
 		if m.Suspect {
 			continue
 		}
@@ -78,7 +79,7 @@
 	self := v.self
 	self.State = v.state
 	region := c.RegionOf(self.Domain)
-	seen = append(seen, seenVM{VM: self, Region: region, Weight: 1, Suspect: !v.ready(now)})
+	seen = append(seen, lookup.Member{VM: self, Region: region, Weight: weight(v.ready(now))})
 	if v.state == sassafrastray.Live {
 		live = append(live, keeper.Member{VM: self.Name, Domain: self.Domain, Region: region})
 	}
@@ -89,12 +90,21 @@
 	v.metrics.members.Set(float64(len(live)))
 	v.handler.Update(&entry.Snapshot{
 		Config: c, Routes: v.conf.routes, Keys: v.conf.keys,
-		Lookup: v.lookups(seen),
+		Lookup: v.lookups(seen, region),
 		Choice: v.choose(view, now),
 		Splits: v.mover.Table(), VMs: vms, State: v.state, Confirmed: v.conf.confirmed,
 	})
 }
 
+// weight is a VM's share of the callers among its neighbours. A VM that is not
+// ready is named only if no other is.
+func weight(ready bool) int {
+	if ready {
+		return 1
+	}
+	return 0
+}
+
 // loads returns the loads of all live VMs, this one's included.
 func (v *VM) loads(now time.Time) []keeper.Load {
 	out := v.gate.Load()
--- a/internal/fleet/vm/status.go
+++ b/internal/fleet/vm/status.go
@@ -13,6 +13,7 @@
 	"sassafrastray/internal/limit/quota"
 	"sassafrastray/internal/rollout/move"
 	"sassafrastray/internal/traffic/keeper"
+	"sassafrastray/internal/traffic/lookup"
 )
 
 const namespace = "sassafrastray"
@@ -95,6 +96,12 @@
 			v.answerReady(ctx)
 		case "/status":
 			v.answerStatus(ctx)
+		case lookup.Path:
+			if l := v.handler.Lookups(); l != nil {
+				lookup.Handle(ctx, l, true)
+				return
+			}
+			ctx.Error("no configuration yet", fasthttp.StatusServiceUnavailable)
 		case "/faults/cut":
 			v.cut(ctx)
 		default:
--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -29,6 +29,7 @@
 	"sassafrastray/internal/traffic/choice"
 	"sassafrastray/internal/traffic/entry"
 	"sassafrastray/internal/traffic/keeper"
+	"sassafrastray/internal/traffic/lookup"
 	"sassafrastray/internal/traffic/retry"
 	"sassafrastray/internal/traffic/upstream"
 )
@@ -106,6 +107,11 @@
 		beats    map[sassafrastray.VMName]*peer.Heartbeat
 		due      map[string]time.Time
 		pulling  bool
+		// answers are the look-ups' answers for the configuration answersOf
+		// and the VMs named.
+		answers   *lookup.Snapshot
+		answersOf *sassafrastray.Config
+		named     []lookup.Member
 		probing  map[sassafrastray.BackendName]bool
 	}
 )
--- a/internal/traffic/entry/handler.go
+++ b/internal/traffic/entry/handler.go
@@ -6,7 +6,6 @@
 
 import (
 	"log/slog"
-	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -21,15 +20,12 @@
 	"sassafrastray/internal/rollout/evidence"
 	"sassafrastray/internal/rollout/move"
 	"sassafrastray/internal/traffic/choice"
+	"sassafrastray/internal/traffic/lookup"
 	"sassafrastray/internal/traffic/route"
 	"sassafrastray/internal/traffic/upstream"
 )
 
 const (
-	// LookupPath is where any VM answers look-ups, on hosts that no service
-	// has.
-	LookupPath = "/lookup"
-
 	// latest is the deadline of a request whose route has no timeout.
 	latest = time.Hour
 )
@@ -40,7 +36,7 @@
 		Config *sassafrastray.Config
 		Routes *route.Table
 		Keys   *key.Table
-		Lookup Lookups
+		Lookup *lookup.Snapshot
 		Choice *choice.Snapshot
 		Splits map[sassafrastray.ServiceName]move.Split
 		// VMs are the live VMs by name.
@@ -51,11 +47,6 @@
 		Confirmed time.Time
 	}
 
-	// Lookups answers look-ups. It is safe for concurrent use.
-	Lookups interface {
-		Answer(service sassafrastray.ServiceName, from netip.Addr) ([]byte, bool)
-	}
-
 	// Quotas admits requests and bytes under the limits of the whole fleet.
 	// It is safe for concurrent use.
 	Quotas interface {
@@ -104,6 +95,15 @@
 	return &Handler{Deps: d, prefix: string(d.Self.Name) + "-" + strconv.FormatInt(int64(inc), 36) + "-"}
 }
 
+// Lookups returns the present answers to look-ups, or nil before the first
+// configuration.
+func (h *Handler) Lookups() *lookup.Snapshot {
+	if s := h.snap.Load(); s != nil {
+		return s.Lookup
+	}
+	return nil
+}
+
 // Update replaces what traffic reads.
 func (h *Handler) Update(s *Snapshot) { h.snap.Store(s) }
 
@@ -121,8 +121,9 @@
 		ctx.SetConnectionClose()
 	}
 	m := s.Routes.Match(string(ctx.Host()), cleanPath(ctx), string(ctx.Method()))
-	if m.Service == nil && string(ctx.Path()) == LookupPath {
-		h.lookup(ctx, s)
+	if m.Service == nil && string(ctx.Path()) == lookup.Path {
+		h.Metrics.Lookups.Inc()
+		lookup.Handle(ctx, s.Lookup, false)
 		return
 	}
 	h.active.Add(1)
@@ -225,28 +226,6 @@
 	return in.arrived.Add(timeout)
 }
 
-// lookup tells a caller which VMs to use.
-func (h *Handler) lookup(ctx *fasthttp.RequestCtx, s *Snapshot) {
-	from := remote(ctx)
-	if a, err := netip.ParseAddr(string(ctx.QueryArgs().Peek("from"))); err == nil {
-		from = a
-	}
-	service := sassafrastray.ServiceName(ctx.QueryArgs().Peek("service"))
-	b, ok := s.Lookup.Answer(service, from)
-	if !ok {
-		notRun(sassafrastray.ReasonHost, "no such service").write(ctx, "")
-		return
-	}
-	h.Metrics.Lookups.Inc()
-	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
-}
-
-func remote(ctx *fasthttp.RequestCtx) netip.Addr {
-	a, _ := netip.AddrFromSlice(ctx.RemoteIP())
-	return a.Unmap()
-}
-
 // refuse answers in the system's own name.
 func (h *Handler) refuse(in *inbound, r *refusal) {
 	r.write(in.ctx, in.id)
