--- /dev/null
+++ b/internal/traffic/choice/choice_test.go
@@ -0,0 +1,260 @@
+package choice
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrastray"
+	"sassafrastray/internal/traffic/keeper"
+)
+
+const bytes = 1000
+
+// fleet is the oracle: the peers' figures, and what was sent since.
+type fleet struct {
+	in   Input
+	now  time.Time
+	sent map[sassafrastray.VMName]int
+	link map[sassafrastray.RegionName]int64
+}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{now: time.Unix(1e9, 0)}
+	regions := []sassafrastray.RegionName{"r0", "r1", "r2"}
+	f.in.Config = &sassafrastray.Config{Services: []sassafrastray.Service{{
+		Name: "stock", Regions: regions[rapid.IntRange(0, 1).Draw(t, "first"):],
+	}}}
+	for i := range 9 {
+		f.in.Peers = append(f.in.Peers, Peer{Member: keeper.Member{
+			VM:     sassafrastray.VMName(fmt.Sprint("vm", i)),
+			Domain: sassafrastray.DomainName(fmt.Sprint("d", i%6)),
+			Region: regions[i%6/2],
+		}})
+	}
+	f.in.Self = f.in.Peers[0].Member
+	f.figures(t)
+	return f
+}
+
+// figures draws new figures for all peers and links. Some are late, some are
+// missing, some VMs are leaving or suspect.
+func (f *fleet) figures(t *rapid.T) {
+	age := func() time.Time {
+		ms := rapid.SampledFrom([]int{0, 0, 0, 100, 1000, 5000, -1}).Draw(t, "age")
+		if ms < 0 {
+			return time.Time{}
+		}
+		return f.now.Add(-time.Duration(ms) * time.Millisecond)
+	}
+	f.now = f.now.Add(time.Hour)
+	f.sent = map[sassafrastray.VMName]int{}
+	f.link = map[sassafrastray.RegionName]int64{}
+	for i := range f.in.Peers {
+		p := &f.in.Peers[i]
+		p.Leaving = rapid.IntRange(0, 5).Draw(t, "leaving") == 0
+		p.Suspect = rapid.IntRange(0, 5).Draw(t, "suspect") == 0
+		p.At, p.Loads = age(), nil
+		if rapid.IntRange(0, 5).Draw(t, "missing") > 0 {
+			l := keeper.Load{Service: "stock", Version: "v1", Slots: rapid.IntRange(0, 9).Draw(t, "slots"), Mean: 100 * time.Millisecond}
+			l.Used = rapid.IntRange(0, l.Slots).Draw(t, "used")
+			if l.Used == l.Slots {
+				l.Queued = rapid.IntRange(0, 30).Draw(t, "queued")
+				l.Wait = time.Duration(l.Queued+1) * l.Mean / time.Duration(max(1, l.Slots))
+			}
+			p.Loads = []keeper.Load{l}
+		}
+	}
+	f.in.Ways = nil
+	for _, r := range []sassafrastray.RegionName{"r1", "r2"} {
+		f.in.Ways = append(f.in.Ways, Way{
+			To: r, Delay: 20 * time.Millisecond, At: age(),
+			Headroom: rapid.Int64Range(0, 5*bytes).Draw(t, "headroom"),
+		})
+	}
+}
+
+// usable reports whether the VM may be chosen at all.
+func (f *fleet) usable(p Peer) bool {
+	return !p.Leaving && !p.Suspect && len(p.Loads) == 1 && p.Loads[0].Slots > 0 &&
+		slices.Contains(f.in.Config.Services[0].Regions, p.Region)
+}
+
+// free is how many slots are free beyond doubt.
+func (f *fleet) free(p Peer) int {
+	if !f.usable(p) || !p.At.Equal(f.now) {
+		return 0
+	}
+	l := p.Loads[0]
+	return l.Slots - l.Used - l.Queued - f.sent[p.VM]
+}
+
+func (f *fleet) peer(vm sassafrastray.VMName) Peer {
+	return f.in.Peers[slices.IndexFunc(f.in.Peers, func(p Peer) bool { return p.VM == vm })]
+}
+
+// headroom reports whether the link may take one more request.
+func (f *fleet) headroom(r sassafrastray.RegionName) bool {
+	for _, w := range f.in.Ways {
+		if w.To == r {
+			fresh := f.now.Sub(w.At) < horizon
+			return fresh && f.link[r]+bytes <= w.Headroom
+		}
+	}
+	return false
+}
+
+// check judges one choice.
+func (f *fleet) check(t *rapid.T, c Choice, ok bool) {
+	local, domain, own, region := false, false, false, false
+	for _, p := range f.in.Peers {
+		if f.usable(p) && p.Region == "r0" {
+			local = true
+			domain = domain || f.free(p) > 0 && p.Domain == "d0"
+			region = region || f.free(p) > 0
+			own = own || p.Domain == "d0"
+		}
+	}
+	if !ok {
+		if local {
+			t.Fatalf("nothing is chosen though the region has some: %s", c.Reason)
+		}
+		return
+	}
+	p := f.peer(c.VM)
+	if !f.usable(p) || c.Second.VM != "" && (!f.usable(f.peer(c.Second.VM)) || c.Second.VM == c.VM) {
+		t.Fatalf("chosen %+v", c)
+	}
+	if domain && p.Domain != "d0" || region && p.Region != "r0" {
+		t.Fatalf("%s is chosen though a nearer one has a free slot", c.VM)
+	}
+	if p.Region == "r0" {
+		return
+	}
+	if !f.headroom(p.Region) {
+		t.Fatalf("crosses to %s without headroom on the link", p.Region)
+	}
+	l := p.Loads[0]
+	if local {
+		rivals := 0
+		for _, o := range f.in.Peers {
+			if o.Region != p.Region && !o.Leaving {
+				rivals++
+			}
+		}
+		part := float64(l.Slots-l.Used-l.Queued) / float64(rivals)
+		if f.now.Sub(p.At) >= horizon || part <= 0 || float64(f.sent[p.VM]) > part {
+			t.Fatalf("crosses to %s with %d sent and a part of %.1f", p.VM, f.sent[p.VM], part)
+		}
+	}
+}
+
+func TestChoice(t *testing.T) {
+	crossed := 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		rng := rand.New(rand.NewPCG(3, rapid.Uint64().Draw(t, "seed")))
+		s := New(f.in, nil, f.now)
+		var open []Choice
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				c, ok := s.Pick(Request{Service: "stock", Version: "v1", Bytes: bytes}, f.now, rng)
+				f.check(t, c, ok)
+				if !ok {
+					return
+				}
+				if c.Reason == Link {
+					crossed++
+				}
+				c.Sent()
+				f.sent[c.VM]++
+				if c.Region != "r0" {
+					f.link[c.Region] += bytes
+				}
+				open = append(open, c)
+			},
+			"done": func(t *rapid.T) {
+				if len(open) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				c := open[i]
+				open = slices.Delete(open, i, i+1)
+				c.Done()
+				f.sent[c.VM]--
+				if c.Region != "r0" {
+					f.link[c.Region] -= bytes
+				}
+			},
+			// The same figures in a new snapshot keep what was sent.
+			"rebuild": func(*rapid.T) { s = New(f.in, s, f.now) },
+			"figures": func(t *rapid.T) {
+				f.figures(t)
+				s, open = New(f.in, nil, f.now), nil
+			},
+		})
+	})
+	if crossed == 0 {
+		t.Error("no request crossed a link by choice")
+	}
+}
+
+// Between VMs that look the same, one figure does not draw all requests to one.
+func TestSpread(t *testing.T) {
+	s, now := benchSnapshot(), time.Unix(1e9, 0)
+	rng := rand.New(rand.NewPCG(1, 2))
+	count := map[sassafrastray.VMName]int{}
+	for range 60 {
+		c, _ := s.Pick(Request{Service: "s0", Version: "v1"}, now, rng)
+		c.Sent()
+		count[c.VM]++
+	}
+	for vm, n := range count {
+		if n > 60/len(count)+4 {
+			t.Errorf("%s got %d of 60: %v", vm, n, count)
+		}
+	}
+}
+
+func TestPickAllocates(t *testing.T) {
+	s, now := benchSnapshot(), time.Unix(1e9, 0)
+	rng := rand.New(rand.NewPCG(1, 2))
+	if n := testing.AllocsPerRun(100, func() { s.Pick(Request{Service: "s0", Version: "v1"}, now, rng) }); n > 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+// benchSnapshot has 4 services at 11 VMs of one region.
+func benchSnapshot() *Snapshot {
+	now := time.Unix(1e9, 0)
+	in := Input{Config: &sassafrastray.Config{}}
+	for s := range 4 {
+		in.Config.Services = append(in.Config.Services, sassafrastray.Service{
+			Name: sassafrastray.ServiceName(fmt.Sprint("s", s)), Regions: []sassafrastray.RegionName{"r"},
+		})
+	}
+	for i := range 11 {
+		p := Peer{At: now, Member: keeper.Member{
+			VM: sassafrastray.VMName(fmt.Sprint("vm", i)), Domain: sassafrastray.DomainName(fmt.Sprint("d", i%6)), Region: "r",
+		}}
+		for s := range 4 {
+			p.Loads = append(p.Loads, keeper.Load{Service: in.Config.Services[s].Name, Version: "v1", Slots: 8, Mean: time.Second})
+		}
+		in.Peers = append(in.Peers, p)
+	}
+	in.Self = in.Peers[0].Member
+	return New(in, nil, now)
+}
+
+func BenchmarkPick(b *testing.B) {
+	s, now := benchSnapshot(), time.Unix(1e9, 0)
+	rng := rand.New(rand.NewPCG(1, 2))
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Pick(Request{Service: "s0", Version: "v1"}, now, rng)
+	}
+}
--- a/internal/traffic/keeper/dispatch.go
+++ b/internal/traffic/keeper/dispatch.go
@@ -56,6 +56,9 @@
 	if capacity == 0 || t.queued >= k.opt.TeamQueue {
 		return busy
 	}
+	if r.Patience > 0 && wait > r.Patience || p.tooLong(wait, now) {
+		return busy
+	}
 	if now.Add(wait + p.expected(r.Route)).After(r.Deadline) {
 		return busy
 	}
--- a/internal/traffic/keeper/keeper.go
+++ b/internal/traffic/keeper/keeper.go
@@ -207,6 +207,9 @@
 // sweep drops the waiting requests whose deadline can't be met any more, and
 // all of them if nothing can serve them.
 func (k *Keeper) sweep(p *pool, now time.Time) {
+	if p.queued == 0 {
+		p.emptied = now
+	}
 	none := k.capacity(p) == 0
 	for _, t := range p.order {
 		for it := t.head; it != nil; {
--- a/internal/traffic/keeper/load.go
+++ b/internal/traffic/keeper/load.go
@@ -16,13 +16,20 @@
 	Slots int `json:"slots"`
 	Used  int `json:"used"`
 	// Queued is how many requests wait, and Wait how long a new one of a
-	// team that has none waiting would.
+	// team that has none waiting would. Teams lists those that have some.
 	Queued int           `json:"queued"`
 	Wait   time.Duration `json:"wait"`
+	Teams  []TeamLoad    `json:"teams,omitempty"`
 	// Mean is the measured service time, 0 if unknown.
 	Mean time.Duration `json:"mean"`
 }
 
+// TeamLoad is how long a new request of a team would wait.
+type TeamLoad struct {
+	Team sassafrastray.TeamName `json:"team"`
+	Wait time.Duration          `json:"wait"`
+}
+
 // Load returns the load of everything that the VM keeps.
 func (k *Keeper) Load() []Load {
 	var ls []Load
@@ -65,11 +72,11 @@
 			total += n
 		}
 	}
-	wait := k.currentWait(p, total)
+	wait, teams := k.currentWait(p, total)
 	queued, before := p.queued, 0
 	for i := from; i < len(ls); i++ {
 		l := &ls[i]
-		l.Mean, l.Wait = time.Duration(p.service), wait
+		l.Mean, l.Wait, l.Teams = time.Duration(p.service), wait, teams
 		if i == len(ls)-1 {
 			l.Queued = queued - before
 			break
@@ -80,21 +87,24 @@
 	return ls
 }
 
-// currentWait returns how long a request of a new team would wait.
-func (k *Keeper) currentWait(p *pool, slots int) time.Duration {
-	used, teams := 0, 0
+// currentWait returns how long a request of a team that has none waiting would
+// wait, and of each team that has some.
+func (k *Keeper) currentWait(p *pool, slots int) (time.Duration, []TeamLoad) {
+	used := 0
 	for _, b := range p.backends {
 		if b.kept {
 			used += b.used
 		}
 	}
+	capacity := k.capacity(p)
+	var teams []TeamLoad
 	for _, t := range p.order {
 		if t.queued > 0 {
-			teams++
+			teams = append(teams, TeamLoad{Team: t.name, Wait: p.wait(p.ahead(t), capacity)})
 		}
 	}
-	if teams == 0 && used < slots && k.share.free(1) > 0 {
-		return 0
+	if len(teams) == 0 && used < slots && k.share.free(1) > 0 {
+		return 0, nil
 	}
-	return p.wait(teams, k.capacity(p))
+	return p.wait(len(teams), capacity), teams
 }
--- a/internal/traffic/keeper/pool.go
+++ b/internal/traffic/keeper/pool.go
@@ -11,6 +11,10 @@
 	smoothing = 1.0 / 16
 	// estimateAge is how long an estimate lasts without a sample.
 	estimateAge = 2 * time.Second
+	// standing is how long a queue may last before its waits are bounded to
+	// standingWaits service times. A longer queue serves no more requests.
+	standing      = time.Second
+	standingWaits = 4
 )
 
 type (
@@ -38,7 +42,8 @@
 		teams    map[sassafrastray.TeamName]*team
 		order    []*team
 		queued   int
-		virtual  float64 // start tag of the last request that started
+		emptied  time.Time // when nothing waited last
+		virtual  float64   // start tag of the last request that started
 		service  mean
 		routes   map[sassafrastray.RouteName]estimate
 	}
--- a/internal/traffic/keeper/queue.go
+++ b/internal/traffic/keeper/queue.go
@@ -149,6 +149,11 @@
 	return time.Duration(float64(ahead+1) * float64(p.service) / float64(max(1, capacity)))
 }
 
+// tooLong reports whether a wait is too long for a queue that has lasted.
+func (p *pool) tooLong(wait time.Duration, now time.Time) bool {
+	return now.Sub(p.emptied) > standing && wait > standingWaits*time.Duration(p.service)
+}
+
 // hopeless returns why a waiting request can't be answered in time, or OK.
 func (p *pool) hopeless(it *item, now time.Time) sassafrastray.Reason {
 	switch {
--- a/internal/traffic/keeper/request.go
+++ b/internal/traffic/keeper/request.go
@@ -48,6 +48,9 @@
 		Weight   int
 		Route    sassafrastray.RouteName
 		Deadline time.Time
+		// Patience is the longest expected wait that it accepts; zero means
+		// any that its deadline allows.
+		Patience time.Duration
 		// Exclude lists backend servers that must not receive it.
 		Exclude []sassafrastray.BackendName
 	}
--- /dev/null
+++ b/internal/traffic/retry/retry_test.go
@@ -0,0 +1,76 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrastray"
+)
+
+// The oracle counts requests and retries of each service from outside, and
+// names the retries that could run a request twice.
+func TestPolicy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1e9, 0)
+		opt := Defaults()
+		p := New(rand.New(rand.NewPCG(1, 2)), opt)
+		services := []sassafrastray.ServiceName{"stock", "photo"}
+		requests, retries := map[sassafrastray.ServiceName]int{}, map[sassafrastray.ServiceName]int{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			s := rapid.SampledFrom(services).Draw(t, "service")
+			if rapid.Bool().Draw(t, "request") {
+				p.Request(s)
+				requests[s]++
+				continue
+			}
+			a := Attempt{
+				Service:    s,
+				Number:     rapid.IntRange(1, 4).Draw(t, "number"),
+				Idempotent: rapid.Bool().Draw(t, "idempotent"),
+				Result:     rapid.SampledFrom([]sassafrastray.Result{sassafrastray.NotRun, sassafrastray.Ran, sassafrastray.Unknown, ""}).Draw(t, "result"),
+				Reason:     rapid.SampledFrom([]sassafrastray.Reason{sassafrastray.ReasonBroken, sassafrastray.ReasonShed, sassafrastray.ReasonQuota, sassafrastray.ReasonLeaving}).Draw(t, "reason"),
+				Deadline:   now.Add(time.Duration(rapid.IntRange(-10, 200).Draw(t, "left")) * time.Millisecond),
+				Expected:   50 * time.Millisecond,
+				Backend:    rapid.SampledFrom([]sassafrastray.BackendName{"", "b1", "b2"}).Draw(t, "backend"),
+				Exclude:    []sassafrastray.BackendName{"b1"},
+			}
+			d := p.Next(a, now)
+			if !d.Retry {
+				checkRefusal(t, a, d, now)
+				continue
+			}
+			safe := a.Result == sassafrastray.NotRun || a.Idempotent && a.Result != sassafrastray.Ran
+			if !safe || a.Reason == sassafrastray.ReasonQuota || a.Number >= opt.Attempts {
+				t.Fatalf("retries %+v", a)
+			}
+			if !now.Add(d.Pause + a.Expected).Before(a.Deadline) {
+				t.Fatalf("retries %v before the deadline", a.Deadline.Sub(now))
+			}
+			if !slices.Contains(d.Exclude, "b1") || a.Backend != "" && !slices.Contains(d.Exclude, a.Backend) {
+				t.Fatalf("excludes %v after %v at %q", d.Exclude, a.Exclude, a.Backend)
+			}
+			if a.Reason == sassafrastray.ReasonLeaving && a.Result == sassafrastray.NotRun {
+				continue
+			}
+			retries[s]++
+			if float64(retries[s]) > opt.Ratio*float64(requests[s])+opt.Reserve+1e-9 {
+				t.Fatalf("%d retries of %d requests", retries[s], requests[s])
+			}
+		}
+	})
+}
+
+// checkRefusal fails if a safe retry with time left is refused for another
+// reason than the budget.
+func checkRefusal(t *rapid.T, a Attempt, d Decision, now time.Time) {
+	safe := a.Result == sassafrastray.NotRun || a.Idempotent && a.Result != sassafrastray.Ran
+	longest := Defaults().Pause << a.Number * 2
+	enough := now.Add(longest + a.Expected).Before(a.Deadline)
+	if safe && enough && a.Number < Defaults().Attempts && a.Reason != sassafrastray.ReasonQuota && d.Reason != Budget {
+		t.Fatalf("%+v is refused: %s", a, d.Reason)
+	}
+}
