--- a/internal/traffic/choice/candidate.go
+++ b/internal/traffic/choice/candidate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sassafrastray"
+	"sassafrastray/internal/traffic/keeper"
 )
 
 type (
@@ -33,6 +34,7 @@
 
 		slots, used, queued int
 		wait, mean          time.Duration
+		teams               []keeper.TeamLoad
 		at                  time.Time
 		sent                *counter
 	}
@@ -57,15 +59,21 @@
 	return free - float64(c.sent.n.Load())
 }
 
-// expected is the expected wait in the VM's queue.
-func (c *candidate) expected(now time.Time) time.Duration {
+// expected is the expected wait of a request of the team in the VM's queue.
+func (c *candidate) expected(team sassafrastray.TeamName, now time.Time) time.Duration {
 	mean := c.mean
 	if mean == 0 {
 		mean = unknownMean
 	}
 	each := float64(mean) / float64(c.slots)
 	if c.queued > 0 {
-		return c.wait + time.Duration(each*float64(c.sent.n.Load()))
+		wait := c.wait
+		for i := range c.teams {
+			if c.teams[i].Team == team {
+				wait = c.teams[i].Wait
+			}
+		}
+		return wait + time.Duration(each*float64(c.sent.n.Load()))
 	}
 	if h := c.headroom(now); h < 1 {
 		return time.Duration(each * (1 - h))
@@ -75,8 +83,8 @@
 
 // cost is the expected time until a request begins there: the way and back,
 // and the wait.
-func (c *candidate) cost(now time.Time) time.Duration {
-	cost := c.expected(now)
+func (c *candidate) cost(team sassafrastray.TeamName, now time.Time) time.Duration {
+	cost := c.expected(team, now)
 	switch {
 	case c.link != nil:
 		cost += 2 * c.link.delay
@@ -92,8 +100,8 @@
 }
 
 // before reports whether c is the better choice.
-func (c *candidate) before(d *candidate, now time.Time) bool {
-	a, b := c.cost(now), d.cost(now)
+func (c *candidate) before(d *candidate, team sassafrastray.TeamName, now time.Time) bool {
+	a, b := c.cost(team, now), d.cost(team, now)
 	return a < b || a == b && c.fill() < d.fill()
 }
 
--- a/internal/traffic/choice/choice.go
+++ b/internal/traffic/choice/choice.go
@@ -48,6 +48,7 @@
 	Request struct {
 		Service sassafrastray.ServiceName
 		Version sassafrastray.VersionName
+		Team    sassafrastray.TeamName
 		Bytes   int64
 	}
 
@@ -63,14 +64,42 @@
 	}
 
 	// Choice is the VM that gets the request and, if Second names one, the
-	// VM for a retry.
+	// VM that gets it if the first would let it wait.
 	Choice struct {
 		Target
 		Reason Reason
 		Second Target
 	}
+
+	// Offer is one step of a choice: the target and the longest wait that
+	// the request accepts there, zero for any.
+	Offer struct {
+		Target
+		Patience time.Duration
+	}
 )
 
+// Offer returns step n of the choice, from 0, or false if there is none left.
+// waits are what the targets of the earlier steps told when they refused. The
+// first target is asked for a slot, or a wait that is no longer than the way
+// to another; the second for a shorter wait than the first one told; then the
+// better of the two takes the request as long as the deadline allows.
+func (c Choice) Offer(n int, waits [2]time.Duration) (Offer, bool) {
+	switch {
+	case n == 0 && c.Second.VM == "":
+		return Offer{Target: c.Target}, true
+	case n == 0:
+		return Offer{Target: c.Target, Patience: hop}, true
+	case n == 1 && c.Second.VM != "":
+		return Offer{Target: c.Second, Patience: max(hop, waits[0])}, true
+	case n == 2 && waits[1] < waits[0]:
+		return Offer{Target: c.Second}, true
+	case n == 2:
+		return Offer{Target: c.Target}, true
+	}
+	return Offer{}, false
+}
+
 // Sent counts a request that goes to the target. Each Sent needs one Done.
 func (t Target) Sent() {
 	t.sent.n.Add(1)
@@ -93,12 +122,12 @@
 	if t == nil {
 		return Choice{Reason: None}, false
 	}
-	local := t.least(0, t.region, now)
+	local := t.least(0, t.region, r.Team, now)
 	if local == nil {
 		return t.leave(r, Only, now, rng)
 	}
-	if cost := local.cost(now); t.tempted(cost) {
-		if c, ok := t.leave(r, Link, now, rng); ok && t.far(c.VM).cost(now) < cost {
+	if cost := local.cost(r.Team, now); t.tempted(cost) {
+		if c, ok := t.leave(r, Link, now, rng); ok && t.far(c.VM).cost(r.Team, now) < cost {
 			c.Second = local.target(r)
 			return c, true
 		}
@@ -110,12 +139,12 @@
 // request would have to wait there.
 func (t *table) stay(r Request, now time.Time, rng *rand.Rand) Choice {
 	end := t.region
-	if own := t.least(0, t.domain, now); own != nil && own.cost(now) <= hop {
+	if own := t.least(0, t.domain, r.Team, now); own != nil && own.cost(r.Team, now) <= hop {
 		end = t.domain
 	}
 	first := t.sample(0, end, nil, rng)
 	second := t.sample(0, end, first, rng)
-	if second != nil && second.before(first, now) {
+	if second != nil && second.before(first, r.Team, now) {
 		first, second = second, first
 	}
 	if second == nil {
@@ -145,9 +174,9 @@
 			continue
 		}
 		switch {
-		case first == nil || c.before(first, now):
+		case first == nil || c.before(first, r.Team, now):
 			first, second = c, first
-		case second == nil || c.before(second, now):
+		case second == nil || c.before(second, r.Team, now):
 			second = c
 		}
 	}
@@ -156,7 +185,7 @@
 	}
 	// Of the best two, either may go first, so that VMs with the same
 	// figures do not all send to one.
-	if second != nil && second.cost(now)-first.cost(now) <= hop && rng.IntN(2) == 0 {
+	if second != nil && second.cost(r.Team, now)-first.cost(r.Team, now) <= hop && rng.IntN(2) == 0 {
 		first, second = second, first
 	}
 	c := Choice{Target: first.target(r), Reason: reason}
@@ -167,10 +196,10 @@
 }
 
 // least returns the candidate with the least cost from i to j, or nil.
-func (t *table) least(i, j int, now time.Time) *candidate {
+func (t *table) least(i, j int, team sassafrastray.TeamName, now time.Time) *candidate {
 	var best *candidate
 	for ; i < j; i++ {
-		if c := &t.candidates[i]; best == nil || c.before(best, now) {
+		if c := &t.candidates[i]; best == nil || c.before(best, team, now) {
 			best = c
 		}
 	}
--- a/internal/traffic/choice/snapshot.go
+++ b/internal/traffic/choice/snapshot.go
@@ -98,7 +98,7 @@
 			vm: p.VM, domain: p.Domain, region: p.Region,
 			near: p.Domain == in.Self.Domain, link: link, rivals: rivals(in, p.Region),
 			slots: l.Slots, used: l.Used, queued: l.Queued,
-			wait: l.Wait, mean: l.Mean, at: p.At,
+			wait: l.Wait, teams: l.Teams, mean: l.Mean, at: p.At,
 		}, previous)
 	}
 }
@@ -134,7 +134,7 @@
 }
 
 // finish orders the candidates and decides whether requests may cross links.
-// Crossing begins when the wait is half as long again as the way, and goes on
+// Crossing begins when the wait is a quarter longer than the way, and goes on
 // until it is shorter than the way.
 func (t *table) finish(self keeper.Member, crossing bool, now time.Time) {
 	slices.SortStableFunc(t.candidates, func(a, b candidate) int { return a.tier() - b.tier() })
@@ -150,9 +150,26 @@
 		}
 	}
 	t.crossing = crossing
-	if local := t.least(0, t.region, now); local != nil {
-		t.crossing = t.tempted(local.cost(now))
+	t.crossing = t.crosses(now)
+}
+
+// crosses reports whether the wait of some team is reason to cross links. A
+// team with no name stands for those that have nothing waiting.
+func (t *table) crosses(now time.Time) bool {
+	if t.region == 0 {
+		return false
+	}
+	if t.tempted(t.least(0, t.region, "", now).cost("", now)) {
+		return true
+	}
+	for i := range t.candidates[:t.region] {
+		for _, w := range t.candidates[i].teams {
+			if t.tempted(t.least(0, t.region, w.Team, now).cost(w.Team, now)) {
+				return true
+			}
+		}
 	}
+	return false
 }
 
 // tempted reports whether a local cost is reason to look at other regions.
@@ -160,7 +177,7 @@
 	if t.crossing {
 		return cost > t.way
 	}
-	return cost > t.way+t.way/2
+	return cost > t.way+t.way/4
 }
 
 func (c *candidate) tier() int {
