--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -112,7 +112,7 @@
 		answers   *lookup.Snapshot
 		answersOf *sassafrastray.Config
 		named     []lookup.Member
-		probing  map[sassafrastray.BackendName]bool
+		probing   map[sassafrastray.BackendName]bool
 	}
 )
 
