Send quota messages when a request starts to wait

Cause: in-quota refusals of teams with a burst of 1 or 2. Their few tokens move between VMs in up to three messages, and each waited for the next tick of 100 ms, so that the 300 ms which a request may wait were over before the token came. Ruled out: a longer wait (it hides the delay and costs latency); a faster tick for all VMs (an idle VM would pay for it). Change: a Take that has to wait wakes the control goroutine, at most every 10 ms. Bursts of 1 are still refused now and then.

--- a/internal/fleet/vm/shared.go
+++ b/internal/fleet/vm/shared.go
@@ -15,6 +15,8 @@
 		clock sassafrastray.Clock
 		mu    sync.Mutex
 		book  *quota.Book
+		// short is signalled when a request waits for tokens.
+		short chan struct{}
 	}
 
 	// ledger lets traffic and the control goroutine share the evidence on
@@ -30,7 +32,14 @@
 func (b *book) Take(key string, n float64, now time.Time) quota.Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.book.Take(key, n, now)
+	v := b.book.Take(key, n, now)
+	if !v.OK && v.Wait > 0 {
+		select {
+		case b.short <- struct{}{}:
+		default:
+		}
+	}
+	return v
 }
 
 // Refund gives back tokens of a request that was not dispatched.
--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -41,6 +41,10 @@
 	probeEvery = time.Second
 	sweepEvery = 10 * time.Second
 
+	// lendEvery is the least time between two rounds of quota messages that
+	// waiting requests bring about.
+	lendEvery = 10 * time.Millisecond
+
 	// callTimeout bounds a call to another VM, storeTimeout one to the store.
 	callTimeout  = time.Second
 	storeTimeout = 3 * time.Second
@@ -140,7 +144,7 @@
 	v.members = member.New(self, member.Defaults())
 	v.place = place.New(self.Name, inc, self.Domain, seeded(inc, 1), place.DefaultOptions())
 	v.mover = move.New(self.Name, inc, seeded(inc, 2), move.Options{})
-	v.quotas = &book{clock: clock, book: quota.New(self.Name, inc, seeded(inc, 3), quota.DefaultOptions())}
+	v.quotas = &book{clock: clock, short: make(chan struct{}, 1), book: quota.New(self.Name, inc, seeded(inc, 3), quota.DefaultOptions())}
 	v.samples = &ledger{clock: clock, ledger: evidence.New(self.Name, inc, evidence.Options{})}
 	v.gate = entry.NewGate(clock, keeper.New(self.Name, seeded(inc, 4), keeper.Defaults()))
 	v.build()
@@ -203,6 +207,12 @@
 			return
 		case f := <-v.tasks:
 			f(v.clock.Now())
+		case <-v.quotas.short:
+			// Requests wait for quota: the next tick may be too late for
+			// them. The pause bounds the cost when many wait.
+			if now := v.clock.Now(); v.every("lend", lendEvery, now) {
+				v.lend(now)
+			}
 		case <-t.C:
 			v.tick(v.clock.Now())
 		}
