--- a/internal/rollout/move/apply.go
+++ b/internal/rollout/move/apply.go
@@ -1,8 +1,6 @@
 package move
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"sassafrastray"
@@ -65,7 +63,7 @@
 	if v.Record == nil {
 		return 0, "no record"
 	}
-	if v.Record.Config > v.Number {
+	if v.Record.Config > v.Number && !v.Bad {
 		return v.Share, "the configuration is older than the record's"
 	}
 	if o := v.Record.Outcome(v.Move.Name); o != nil {
@@ -106,7 +104,7 @@
 	return View{
 		Record: s.rec, Move: s.move, Number: m.number, Share: s.share,
 		Fresh: !s.fresh.IsZero() && now.Sub(s.fresh) < m.opt.Fresh,
-		Bad:   s.bad != nil, Fallback: s.fallback,
+		Bad:   s.bad() != nil, Fallback: s.fallback,
 	}
 }
 
@@ -159,12 +157,17 @@
 
 // publish makes a new table if a split has changed.
 func (m *Mover) publish(now time.Time) {
-	next := Table{}
-	for name := range m.services {
-		next[name] = m.Share(name, now)
+	changed := false
+	for _, name := range m.names {
+		was, ok := m.table[name]
+		changed = changed || !ok || was != m.Share(name, now)
 	}
-	if !maps.Equal(next, m.table) {
-		m.table = next
+	if !changed {
+		return
+	}
+	m.table = Table{}
+	for _, name := range m.names {
+		m.table[name] = m.Share(name, now)
 	}
 }
 
@@ -190,7 +193,7 @@
 // state is empty while nothing is known of the configuration's move.
 func (m *Mover) Status(now time.Time) []Report {
 	var out []Report
-	for _, name := range slices.Sorted(maps.Keys(m.services)) {
+	for _, name := range m.names {
 		if s := m.services[name]; s.move != nil || s.rec != nil {
 			out = append(out, m.report(s, now))
 		}
@@ -199,7 +202,7 @@
 }
 
 func (m *Mover) report(s *service, now time.Time) Report {
-	r := Report{Service: s.name, Share: s.share, Hold: s.hold, Bad: s.bad, Reason: m.Share(s.name, now).Reason}
+	r := Report{Service: s.name, Share: s.share, Hold: s.hold, Bad: s.bad(), Reason: m.Share(s.name, now).Reason}
 	if s.rec != nil {
 		r.Move, r.State, r.Step, r.Leader, r.Past = s.rec.Move, s.rec.State, s.rec.Share, s.rec.Leader, s.rec.Past
 		if s.move == nil {
--- a/internal/rollout/move/call.go
+++ b/internal/rollout/move/call.go
@@ -109,8 +109,8 @@
 		return
 	}
 	s.verdict, s.headroom, s.judgedAt = ev.Verdict, ev.Headroom, now
-	if ev.Verdict.Kind == evidence.Bad && s.bad == nil {
-		s.bad = &Bad{Service: s.name, Move: ev.Move, VM: m.self, Reason: ev.Verdict.Reason}
+	if ev.Verdict.Kind == evidence.Bad {
+		s.condemn(Bad{Service: s.name, Move: ev.Move, VM: m.self, Reason: ev.Verdict.Reason})
 	}
 }
 
@@ -125,9 +125,8 @@
 		}
 	}
 	for _, b := range ev.Beat.Bad {
-		s := m.services[b.Service]
-		if s != nil && s.move != nil && s.move.Name == b.Move && s.bad == nil {
-			s.bad = &b
+		if s := m.services[b.Service]; s != nil {
+			s.condemn(b)
 		}
 	}
 }
--- a/internal/rollout/move/lead.go
+++ b/internal/rollout/move/lead.go
@@ -81,8 +81,8 @@
 	}
 	soaks := time.Duration(len(rest(s.move, s.rec.Share))) * s.move.Soak
 	switch {
-	case s.bad != nil:
-		return s.bad.Reason
+	case s.bad() != nil:
+		return s.bad().Reason
 	case overdue(s.move, m.opt.Reserve, now):
 		return "the deadline is near"
 	case overdue(s.move, m.opt.Reserve+soaks, now):
--- a/internal/rollout/move/move.go
+++ b/internal/rollout/move/move.go
@@ -58,6 +58,7 @@
 		members  []sassafrastray.VMName
 		token    int64
 		services map[sassafrastray.ServiceName]*service
+		names    []sassafrastray.ServiceName // the keys of services in order
 		table    Table
 	}
 )
@@ -110,6 +111,7 @@
 			s.withdraw()
 		}
 	}
+	m.names = slices.Sorted(maps.Keys(m.services))
 	m.publish(now)
 }
 
@@ -130,7 +132,7 @@
 	case Heard:
 		m.heard(ev, now)
 	}
-	for _, name := range slices.Sorted(maps.Keys(m.services)) {
+	for _, name := range m.names {
 		s := m.services[name]
 		out = append(out, m.apply(s, now)...)
 		out = append(out, m.drive(s, now)...)
@@ -142,7 +144,7 @@
 // Beat returns what this VM tells its peers.
 func (m *Mover) Beat(now time.Time) Beat {
 	var b Beat
-	for _, name := range slices.Sorted(maps.Keys(m.services)) {
+	for _, name := range m.names {
 		s := m.services[name]
 		if s.rec != nil && s.move != nil {
 			c := Confirmed{Service: name, Version: s.version, Age: -1, Record: *s.rec}
@@ -152,8 +154,8 @@
 			}
 			b.Records = append(b.Records, c)
 		}
-		if s.bad != nil {
-			b.Bad = append(b.Bad, *s.bad)
+		if bad := s.bad(); bad != nil {
+			b.Bad = append(b.Bad, *bad)
 		}
 	}
 	return b
--- a/internal/rollout/move/service.go
+++ b/internal/rollout/move/service.go
@@ -7,6 +7,10 @@
 	"sassafrastray/internal/rollout/evidence"
 )
 
+// maxBads bounds how many moves are remembered as bad, in case operators go
+// back to one of them.
+const maxBads = 8
+
 type (
 	// service is what one VM knows of one service's move.
 	service struct {
@@ -33,7 +37,8 @@
 
 		// share is what this VM sends to the new version, in thousandths.
 		share int
-		bad   *Bad
+		// bads are the latest moves whose new version was found bad.
+		bads []Bad
 		// hold says why the leader does not raise the share.
 		hold string
 
@@ -79,6 +84,25 @@
 	}
 }
 
+// bad returns the report that the configuration's move is bad, or nil.
+func (s *service) bad() *Bad {
+	for i := range s.bads {
+		if s.move != nil && s.bads[i].Move == s.move.Name {
+			return &s.bads[i]
+		}
+	}
+	return nil
+}
+
+// condemn notes that the configuration's move is bad.
+func (s *service) condemn(b Bad) {
+	if s.move == nil || s.move.Name != b.Move || s.bad() != nil {
+		return
+	}
+	s.bads = append(s.bads, b)
+	s.bads = s.bads[max(0, len(s.bads)-maxBads):]
+}
+
 // withdraw forgets the move of a service that has left the configuration.
 func (s *service) withdraw() {
 	s.reset()
@@ -87,7 +111,7 @@
 
 // reset forgets what belongs to the configuration's move alone.
 func (s *service) reset() {
-	s.share, s.bad, s.hold = 0, nil, ""
+	s.share, s.hold = 0, ""
 	s.verdict, s.judgedAt, s.headroom = evidence.Verdict{}, time.Time{}, nil
 	s.wanted = time.Time{}
 }
