--- a/Makefile
+++ b/Makefile
@@ -31,5 +31,9 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+# demo runs the whole system for two minutes and prints a report.
+demo: build
+	./demo/run
+
 clean:
 	rm -rf bin out
--- a/cmd/sassafrastray/status.go
+++ b/cmd/sassafrastray/status.go
@@ -79,9 +79,9 @@
 }
 
 // seconds shows a time in seconds, of which a negative one means never.
-func seconds(s float64) string {
-	if s < 0 {
+func seconds(d time.Duration) string {
+	if d < 0 {
 		return "never"
 	}
-	return fmt.Sprintf("%.1fs", s)
+	return fmt.Sprintf("%.1fs", d.Seconds())
 }
--- a/internal/fleet/vm/status.go
+++ b/internal/fleet/vm/status.go
@@ -41,9 +41,9 @@
 		State  string `json:"state"`
 		// Age is the time since the VM was last heard of, and Confirmed the
 		// time since its configuration was known to be the newest, both in
-		// seconds; -1 means never.
-		Age       float64 `json:"age"`
-		Confirmed float64 `json:"confirmed"`
+		// nanoseconds; a negative one means never.
+		Age       time.Duration `json:"age"`
+		Confirmed time.Duration `json:"confirmed"`
 	}
 
 	// cutRequest is the body of a request to cut failure domains off.
@@ -171,7 +171,7 @@
 	own := Fellow{Name: v.self.Name, Domain: v.self.Domain, State: string(v.state), Confirmed: -1}
 	if c := v.conf.current; c != nil {
 		s.Config, own.Config = c.Number, c.Number
-		own.Confirmed = now.Sub(v.conf.confirmed).Seconds()
+		own.Confirmed = now.Sub(v.conf.confirmed)
 	}
 	if p := v.place.Place(); p != nil {
 		s.Place = p.String()
@@ -192,13 +192,13 @@
 		heard[m.VM.Name] = true
 		f := Fellow{
 			Name: m.VM.Name, Domain: m.VM.Domain, Config: m.Config, State: string(m.VM.State),
-			Age: m.Age.Seconds(), Confirmed: -1,
+			Age: m.Age, Confirmed: -1,
 		}
 		if m.Suspect {
 			f.State = "suspect"
 		}
 		if h := v.beats[m.VM.Name]; h != nil && h.Config > 0 {
-			f.Confirmed = (h.Age() + m.Age).Seconds()
+			f.Confirmed = h.Age() + m.Age
 		}
 		out = append(out, f)
 	}
