--- a/internal/limit/quota/entry.go
+++ b/internal/limit/quota/entry.go
@@ -1,10 +1,6 @@
 package quota
 
-import (
-	"time"
-
-	"sassafrastray"
-)
+import "time"
 
 const (
 	// refundWindow is how long after a Take its tokens can be given back.
@@ -12,7 +8,7 @@
 	// shortWait and longWait bound the time after which a waiting request
 	// tries again.
 	shortWait = 2 * time.Millisecond
-	longWait  = 25 * time.Millisecond
+	longWait  = 23 * time.Millisecond
 )
 
 type (
@@ -26,11 +22,11 @@
 		removedAt time.Time
 
 		// The base share after configuration, whether lent or not.
-		share     int64
-		fraction  float64 // of the limit's rate
-		target    float64 // the fraction once raiseAt has passed
-		raiseAt   time.Time
-		shareGoal int64 // the share once raiseAt has passed
+		share        int64
+		fraction     float64 // of the limit's rate
+		fractionGoal float64 // the fraction once raiseAt has passed
+		raiseAt      time.Time
+		shareGoal    int64 // the share once raiseAt has passed
 
 		tokens   float64
 		capacity float64
@@ -42,7 +38,11 @@
 		lent    []lent
 		queue   []queued
 		pending []pending
-		backoff map[sassafrastray.VMName]backoff
+		hub     *neighbour // the VM that gathers spare units, nil if unknown
+		isHub   bool
+		busy    bool  // some VM has demand
+		wants   int64 // units that other VMs lack
+		backoff map[backoffKey]backoff
 
 		recent   [2]float64 // tokens taken in this refund window and the one before
 		recentAt time.Time
@@ -51,6 +51,7 @@
 		waiting waiting
 		arrived float64 // tokens taken or refused since the last Tick
 		demand  float64 // tokens per second
+		habit   float64 // demand over a longer time
 	}
 )
 
@@ -113,6 +114,7 @@
 			e.ending = l.end
 		}
 	}
+	e.capacity = max(0, e.capacity-float64(e.tokensOut()))
 	e.spill += max(0, before-e.capacity)
 	e.tokens = min(e.tokens, e.capacity)
 }
@@ -128,22 +130,51 @@
 	return e.limit.Rate / float64(e.units)
 }
 
-// lentOut returns the units and the rate that are lent to other VMs.
+// lentOut returns the units of the base share that are lent with their rate.
 func (e *entry) lentOut() (units int64, rate float64) {
 	for i := range e.lent {
-		units += e.lent[i].units
-		rate += e.lent[i].rate
+		if !e.lent[i].tokensOnly {
+			units += e.lent[i].units
+			rate += e.lent[i].rate
+		}
 	}
 	return units, rate
 }
 
-// free returns how many units of the base share are not lent.
-func (e *entry) free() int64 {
+// tokensOut returns the units that hold tokens lent without a rate.
+func (e *entry) tokensOut() int64 {
+	units := int64(0)
+	for i := range e.lent {
+		if e.lent[i].tokensOnly {
+			units += e.lent[i].units
+		}
+	}
+	return units
+}
+
+// lasting returns the units that stay with the VM until the given time, less
+// those that hold lent tokens. The loan at index except is not counted.
+func (e *entry) lasting(until time.Time, except int) int64 {
+	units := -e.tokensOut()
+	if e.active {
+		out, _ := e.lentOut()
+		units += max(0, e.share-out)
+	}
+	for i := range e.loans {
+		if i != except && !e.loans[i].end.Before(until) {
+			units += e.loans[i].units
+		}
+	}
+	return units
+}
+
+// free returns how many units of the base share can be lent with their rate.
+func (e *entry) free(until time.Time) int64 {
 	if !e.active {
 		return 0
 	}
-	units, _ := e.lentOut()
-	return max(0, e.share-units)
+	out, _ := e.lentOut()
+	return max(0, min(e.share-out, e.lasting(until, -1)))
 }
 
 // take removes n tokens, which the bucket has.
@@ -178,7 +209,7 @@
 // delay returns after which time a request that found too few tokens tries
 // again, or zero if no token is about to come.
 func (e *entry) delay(n float64, now time.Time, opt Options) time.Duration {
-	ahead := e.waiting.sum(now)
+	ahead := e.waiting.count(now)
 	if e.rate > 0 {
 		own := time.Duration((n + ahead - e.tokens) / e.rate * float64(time.Second))
 		if own <= opt.Wait {
--- a/internal/limit/quota/lender.go
+++ b/internal/limit/quota/lender.go
@@ -4,25 +4,27 @@
 	"math"
 	"slices"
 	"time"
-)
 
-// recallEvery is the least time between two recalls of the same loan.
-const recallEvery = 150 * time.Millisecond
+	"sassafrastray"
+)
 
 type (
 	// lent is a loan as its lender knows it. It counts as in use until the
 	// borrower returns it or until has passed.
 	lent struct {
-		to       party
-		id       uint64
-		units    int64
-		rate     float64
-		tokens   float64
-		until    time.Time
-		recalled time.Time
+		to     party
+		id     uint64
+		units  int64
+		rate   float64
+		tokens float64
+		length time.Duration
+		until  time.Time
+		// tokensOnly loans have no rate. They may come out of units that are
+		// themselves borrowed, because they end before those do.
+		tokensOnly bool
 	}
 
-	// queued is an Ask that waits for a loan to be returned.
+	// queued is an Ask that waits for a token.
 	queued struct {
 		from  party
 		ask   Ask
@@ -61,52 +63,111 @@
 	if slices.ContainsFunc(e.queue, func(q queued) bool { return q.from == from && q.ask.ID == a.ID }) {
 		return
 	}
-	if b.lend(e, from, a, now) {
-		return
+	if a.Hub {
+		b.yield(e, from.vm, a.Demand, now)
 	}
-	if a.Need == 0 || !e.active || e.share == 0 {
+	switch {
+	case a.Need <= 0:
+		if b.lendUnits(e, from, a, now) {
+			return
+		}
+		if units, _ := e.lentOut(); a.Hub && units > 0 {
+			e.queue = append(e.queue, queued{from: from, ask: a, until: now.Add(b.opt.Wait)})
+			return
+		}
 		b.decline(from, a)
+	case len(e.queue) == 0 && b.lendTokens(e, from, a, now):
+	case e.isHub && e.rate > 0:
+		e.queue = append(e.queue, queued{from: from, ask: a, until: now.Add(b.opt.Wait)})
+	default:
+		b.redirect(e, from, a)
+	}
+}
+
+// redirect declines an Ask for tokens and tells who the hub is.
+func (b *Book) redirect(e *entry, to party, a Ask) {
+	b.decline(to, a)
+	if e.hub != nil {
+		grants := b.to(to).Grants
+		grants[len(grants)-1].Hub = e.hub.Name
+	}
+}
+
+// yield makes an earlier hub step down in favour of another VM, and returns
+// what it had gathered, so that the other finds it at its owners.
+func (b *Book) yield(e *entry, to sassafrastray.VMName, demand float64, now time.Time) {
+	own := candidate{name: b.self, demand: e.habit}
+	if e.isHub && own.above(candidate{name: to, demand: demand}) {
 		return
 	}
-	e.queue = append(e.queue, queued{from: from, ask: a, until: now.Add(b.opt.Wait)})
-	b.recall(e, a.Need, now)
+	i := slices.IndexFunc(b.peers, func(n *neighbour) bool { return n.Name == to })
+	if i < 0 {
+		return
+	}
+	e.hub = b.peers[i]
+	if e.isHub {
+		e.isHub = false
+		b.keepLoans(e, now)
+	}
 }
 
-// lend gives what can be spared and tells whether that was anything. Tokens
-// that requests elsewhere wait for go before demand that is only expected.
-func (b *Book) lend(e *entry, from party, a Ask, now time.Time) bool {
-	free := e.free()
-	if free == 0 || e.unmet(now) > 0 {
+// lendUnits lends units of the base share that the own demand can spare, with
+// their part of the rate and of the tokens.
+func (b *Book) lendUnits(e *entry, from party, a Ask, now time.Time) bool {
+	k := min(a.Units, e.spare(now.Add(b.opt.Tokens+b.opt.Margin)))
+	if k <= 0 || e.capacity <= 0 {
+		return false
+	}
+	// Loans under an earlier configuration may have more rate than their part.
+	_, out := e.lentOut()
+	rate := min(e.baseRate()*float64(k)/float64(e.share), e.baseRate()-out)
+	if rate <= 0 {
 		return false
 	}
+	tokens := min(e.tokens*float64(k)/e.capacity, float64(k), e.tokens)
+	b.record(e, lent{
+		to: from, id: a.ID, units: k, rate: rate, tokens: tokens, length: b.opt.Length,
+	}, now)
+	return true
+}
+
+// spare returns the units of the base share that the own demand does not need.
+func (e *entry) spare(until time.Time) int64 {
 	borrowed := int64(0)
 	for _, l := range e.loans {
 		borrowed += l.units
 	}
-	spare := free - max(0, e.wanted()-borrowed)
-	k := max(min(free, a.Need), min(spare, a.Units))
+	return max(0, e.free(until)-max(0, e.wanted(e.demand)-borrowed))
+}
+
+// lendTokens lends whole tokens that no request here waits for. The units that
+// hold them are with this VM for longer than the loan lasts, so they are not
+// lent on to another lender's disadvantage.
+func (b *Book) lendTokens(e *entry, from party, a Ask, now time.Time) bool {
+	spare := int64(e.tokens - e.waiting.count(now))
+	k := min(a.Need, spare, e.lasting(now.Add(b.opt.Tokens+b.opt.Margin), -1))
 	if k <= 0 {
 		return false
 	}
-	left := e.capacity - float64(k)
-	tokens := max(e.tokens-left, min(e.tokens, float64(a.Need)), e.tokens*float64(k)/e.capacity)
-	tokens = min(tokens, float64(k), e.tokens)
-	e.tokens -= tokens
-	l := lent{
-		to: from, id: a.ID, units: k, tokens: tokens,
-		rate:  e.baseRate() * float64(k) / float64(e.share),
-		until: now.Add(b.opt.Quarantine()),
-	}
+	b.record(e, lent{
+		to: from, id: a.ID, units: k, tokens: float64(k), length: b.opt.Tokens, tokensOnly: true,
+	}, now)
+	return true
+}
+
+// record takes a loan out of the bucket and sends the grant.
+func (b *Book) record(e *entry, l lent, now time.Time) {
+	l.until = now.Add(l.length + b.opt.Margin)
+	e.tokens -= l.tokens
 	e.lent = append(e.lent, l)
 	e.resize()
 	b.grant(e, l)
-	return true
 }
 
 func (b *Book) grant(e *entry, l lent) {
 	m := b.to(l.to)
 	m.Grants = append(m.Grants, Grant{
-		ID: l.id, Key: e.limit.Key, Units: l.units, Rate: l.rate, Tokens: l.tokens, Length: b.opt.Length,
+		ID: l.id, Key: e.limit.Key, Units: l.units, Rate: l.rate, Tokens: l.tokens, Length: l.length,
 	})
 }
 
@@ -115,32 +176,18 @@
 	m.Grants = append(m.Grants, Grant{ID: a.ID, Key: a.Key})
 }
 
-// serve answers queued asks for which there are units now.
+// serve answers queued asks for which there are tokens now.
 func (b *Book) serve(e *entry, now time.Time) {
 	e.queue = slices.DeleteFunc(e.queue, func(q queued) bool {
 		if !now.Before(q.until) {
 			b.decline(q.from, q.ask)
 			return true
 		}
-		return b.lend(e, q.from, q.ask, now)
-	})
-}
-
-// recall asks borrowers to return loans of at least units in sum.
-func (b *Book) recall(e *entry, units int64, now time.Time) {
-	for i := range e.lent {
-		if units <= 0 {
-			return
+		if q.ask.Need == 0 {
+			return b.lendUnits(e, q.from, q.ask, now)
 		}
-		l := &e.lent[i]
-		units -= l.units
-		if now.Sub(l.recalled) < recallEvery {
-			continue
-		}
-		l.recalled = now
-		m := b.to(l.to)
-		m.Recalls = append(m.Recalls, Recall{ID: l.id, Key: e.limit.Key})
-	}
+		return b.lendTokens(e, q.from, q.ask, now)
+	})
 }
 
 // onReturn takes a loan back with the tokens that the borrower gave up. A loan
@@ -162,14 +209,14 @@
 }
 
 // onRenewal prolongs a loan whose terms still fit the configuration, unless
-// the units are needed here or by a VM whose requests wait.
+// the demand here needs the units.
 func (b *Book) onRenewal(from party, r Renewal, now time.Time) {
 	e := b.entry(r.Key, now)
-	if e == nil || !e.active || e.share == 0 || len(e.queue) > 0 || e.unmet(now) > 0 {
+	if e == nil || !e.active || e.share == 0 || e.lack() > 0 {
 		return
 	}
 	i := e.find(from, r.Loan)
-	if i < 0 {
+	if i < 0 || e.lent[i].tokensOnly {
 		return
 	}
 	l := &e.lent[i]
--- a/internal/limit/quota/message.go
+++ b/internal/limit/quota/message.go
@@ -20,7 +20,6 @@
 		Grants   []Grant                   `json:"grants,omitempty"`
 		Renewals []Renewal                 `json:"renewals,omitempty"`
 		Renewed  []Renewal                 `json:"renewed,omitempty"`
-		Recalls  []Recall                  `json:"recalls,omitempty"`
 		Returns  []Return                  `json:"returns,omitempty"`
 	}
 
@@ -29,13 +28,18 @@
 	Ask struct {
 		ID  uint64 `json:"id"`
 		Key string `json:"key"`
-		// Units is what the borrower's rate of demand asks for.
-		Units int64 `json:"units"`
-		// Need is how many tokens waiting requests lack.
-		Need int64 `json:"need"`
+		// Units asks for units with their rate.
+		Units int64 `json:"units,omitempty"`
+		// Need asks for tokens alone, for requests that wait.
+		Need int64 `json:"need,omitempty"`
+		// Hub is set by the VM that gathers spare units. Demand is its own,
+		// by which an earlier hub knows that it is to step down.
+		Hub    bool    `json:"hub,omitempty"`
+		Demand float64 `json:"demand,omitempty"`
 	}
 
 	// Grant answers an Ask. No units mean that the lender has none to spare.
+	// A loan of tokens alone has as many units as tokens, and no rate.
 	Grant struct {
 		ID     uint64        `json:"id"`
 		Key    string        `json:"key"`
@@ -43,6 +47,8 @@
 		Rate   float64       `json:"rate"`
 		Tokens float64       `json:"tokens"`
 		Length time.Duration `json:"length"`
+		// Hub is where to ask instead, if the lender knows.
+		Hub sassafrastray.VMName `json:"hub,omitempty"`
 	}
 
 	// Renewal asks to prolong a loan, and comes back as the answer. ID names
@@ -54,12 +60,6 @@
 		Length time.Duration `json:"length,omitempty"`
 	}
 
-	// Recall asks the borrower to return a loan early.
-	Recall struct {
-		ID  uint64 `json:"id"`
-		Key string `json:"key"`
-	}
-
 	// Return ends a loan and gives back tokens that the borrower no longer
 	// has.
 	Return struct {
@@ -126,9 +126,6 @@
 	for _, r := range m.Renewed {
 		b.onRenewed(from, r, now)
 	}
-	for _, r := range m.Recalls {
-		b.onRecall(from, r, now)
-	}
 	return b.flush()
 }
 
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -19,8 +19,8 @@
 package quota
 
 import (
-	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sassafrastray"
@@ -59,6 +59,8 @@
 		Settle time.Duration
 		// Wait bounds how long the Book lets a request wait for a token.
 		Wait time.Duration
+		// Tokens is how long tokens lent without a rate may be used.
+		Tokens time.Duration
 		// Static turns lending off.
 		Static bool
 	}
@@ -101,6 +103,8 @@
 		active    bool
 		suspended bool
 		lastTick  time.Time
+		renewing  bool // in this Tick
+		renewAt   time.Time
 
 		peers  []*neighbour
 		nextID uint64
@@ -117,6 +121,7 @@
 		Pause:  2 * time.Second,
 		Settle: 10 * time.Second,
 		Wait:   300 * time.Millisecond,
+		Tokens: 600 * time.Millisecond,
 	}
 }
 
@@ -168,7 +173,7 @@
 // count against that place, whose next holder waits until they have lapsed.
 func (b *Book) forgetLent() {
 	for _, e := range b.order {
-		e.lent = e.lent[:0]
+		e.lent = slices.DeleteFunc(e.lent, func(l lent) bool { return !l.tokensOnly })
 		e.queue = e.queue[:0]
 	}
 }
@@ -232,6 +237,12 @@
 		elapsed = 0
 	}
 	b.lastTick = now
+	// All loans are renewed in the same ticks, so that each other VM gets one
+	// message for all of them.
+	b.renewing = !now.Before(b.renewAt)
+	if b.renewing {
+		b.renewAt = now.Add(b.opt.Length / 4)
+	}
 	b.purge(now)
 	for _, e := range b.order {
 		e.expire(now)
@@ -242,7 +253,6 @@
 			continue
 		}
 		b.serve(e, now)
-		b.recall(e, int64(math.Ceil(e.unmet(now))), now)
 		b.keepLoans(e, now)
 		b.ask(e, now)
 	}
--- a/internal/limit/quota/share.go
+++ b/internal/limit/quota/share.go
@@ -38,7 +38,7 @@
 		l.Rate *= 1 - b.opt.Drift
 		e := b.entries[l.Key]
 		if e == nil {
-			e = &entry{limit: l, last: now, active: b.active, backoff: make(map[sassafrastray.VMName]backoff)}
+			e = &entry{limit: l, last: now, active: b.active, backoff: make(map[backoffKey]backoff)}
 			b.entries[l.Key] = e
 			b.order = append(b.order, e)
 			e.own(b.place, b.domains)
@@ -96,7 +96,7 @@
 	}
 	part := fraction(share, e.units)
 	if part > e.fraction || share > e.share && moved {
-		e.raiseAt, e.shareGoal, e.target = raise, share, part
+		e.raiseAt, e.shareGoal, e.fractionGoal = raise, share, part
 	} else {
 		e.raiseAt = time.Time{}
 	}
@@ -113,7 +113,7 @@
 		return
 	}
 	e.raiseAt = time.Time{}
-	e.share, e.fraction = e.shareGoal, e.target
+	e.share, e.fraction = e.shareGoal, e.fractionGoal
 	e.resize()
 }
 
