Prove the loader, the round trips and the settings

Cause: configurations had one test, settings and routes none.

The mean chunk is 64 KiB. The digest streams, and applying a difference merges in place of sorting.

--- a/internal/platform/config/change.go
+++ b/internal/platform/config/change.go
@@ -122,9 +122,9 @@
 		i := slices.IndexFunc(l.config.Fleet.Domains, func(d sassafrastray.FailureDomain) bool { return d.Name == was.Name })
 		switch {
 		case i < 0:
-			n.Get("domains").Warn("failure domain %q goes, and its %d places with it; its VMs must have stopped", was.Name, was.Places)
+			n.Get("domains").Warn("failure domain %q goes, with its share of quotas (places: %d); its VMs must have stopped", was.Name, was.Places)
 		case l.config.Fleet.Domains[i].Places != was.Places:
-			n.Get("domains").Warn("failure domain %q goes from %d places to %d, which changes every place's share of quotas",
+			n.Get("domains").Warn("failure domain %q goes from %d to %d in places, which changes the share of quotas of every place",
 				was.Name, was.Places, l.config.Fleet.Domains[i].Places)
 		}
 	}
--- a/internal/platform/config/chunk.go
+++ b/internal/platform/config/chunk.go
@@ -22,13 +22,18 @@
 
 // Sizes of chunks in bytes before compression.
 const (
-	meanChunk = 128 << 10
-	minChunk  = 16 << 10
-	maxChunk  = 512 << 10
+	meanChunk = 64 << 10
+	minChunk  = 8 << 10
+	maxChunk  = 256 << 10
 
 	// maxPlain bounds what a chunk may unpack to, so that a wrong object
 	// can't fill the memory.
 	maxPlain = 64 << 20
+
+	// hashBuffer gathers lines for the digest; maxBlockLine is the room that
+	// it keeps for one more.
+	hashBuffer   = 32 << 10
+	maxBlockLine = 256
 )
 
 // writers keeps compressors, each of which holds the better part of a megabyte.
@@ -38,24 +43,34 @@
 // publish id: a line for the fleet, one for each service, one for each block.
 func lines(c *sassafrastray.Config) [][]byte {
 	out := make([][]byte, 0, 1+len(c.Services)+len(c.Fleet.Blocks))
-	out = append(out, line(fleetLine, marshal(withoutBlocks(c.Fleet))))
+	out = append(out, fleetLineOf(c))
 	for i := range c.Services {
-		out = append(out, line(serviceLine, marshal(&c.Services[i])))
+		out = append(out, serviceLineOf(&c.Services[i]))
 	}
 	// One buffer for all blocks, since there are so many of them.
 	buf := make([]byte, 0, len(c.Fleet.Blocks)*40)
 	for _, b := range c.Fleet.Blocks {
 		start := len(buf)
-		buf = append(buf, blockLine...)
-		buf = b.Prefix.AppendTo(buf)
-		buf = append(buf, ' ')
-		buf = append(buf, b.Region...)
-		buf = append(buf, '\n')
+		buf = appendBlock(buf, b)
 		out = append(out, buf[start:len(buf):len(buf)])
 	}
 	return out
 }
 
+func fleetLineOf(c *sassafrastray.Config) []byte {
+	return line(fleetLine, marshal(withoutBlocks(c.Fleet)))
+}
+
+func serviceLineOf(s *sassafrastray.Service) []byte { return line(serviceLine, marshal(s)) }
+
+func appendBlock(buf []byte, b sassafrastray.Block) []byte {
+	buf = append(buf, blockLine...)
+	buf = b.Prefix.AppendTo(buf)
+	buf = append(buf, ' ')
+	buf = append(buf, b.Region...)
+	return append(buf, '\n')
+}
+
 func withoutBlocks(f sassafrastray.Fleet) sassafrastray.Fleet {
 	f.Blocks = []sassafrastray.Block{}
 	return f
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -59,17 +59,7 @@
 // Deadlines are judged against now unless it is zero, and the change against
 // previous unless that is nil.
 func Check(dir string, now time.Time, previous *Previous) (*sassafrastray.Config, *document.Report) {
-	l := &loader{
-		dir: dir, now: now, previous: previous,
-		report: &document.Report{}, config: &sassafrastray.Config{},
-		teams:     map[sassafrastray.TeamName]bool{},
-		regions:   map[sassafrastray.RegionName]bool{},
-		domains:   map[sassafrastray.DomainName]sassafrastray.RegionName{},
-		services:  map[sassafrastray.ServiceName]string{},
-		hosts:     map[string]sassafrastray.ServiceName{},
-		backends:  map[sassafrastray.BackendName]sassafrastray.ServiceName{},
-		addresses: map[string]sassafrastray.BackendName{},
-	}
+	l := newLoader(dir, now, previous)
 	fleet := l.parse(filepath.Join(dir, fleetFile))
 	if fleet.Exists() {
 		l.readFleet(fleet)
@@ -88,6 +78,20 @@
 	return l.config, l.report
 }
 
+func newLoader(dir string, now time.Time, previous *Previous) *loader {
+	return &loader{
+		dir: dir, now: now, previous: previous,
+		report: &document.Report{}, config: &sassafrastray.Config{},
+		teams:     map[sassafrastray.TeamName]bool{},
+		regions:   map[sassafrastray.RegionName]bool{},
+		domains:   map[sassafrastray.DomainName]sassafrastray.RegionName{},
+		services:  map[sassafrastray.ServiceName]string{},
+		hosts:     map[string]sassafrastray.ServiceName{},
+		backends:  map[sassafrastray.BackendName]sassafrastray.ServiceName{},
+		addresses: map[string]sassafrastray.BackendName{},
+	}
+}
+
 // parse reads one file. An empty one is a mistake too.
 func (l *loader) parse(path string) document.Node {
 	data, ok := l.read(path)
--- a/internal/platform/config/difference.go
+++ b/internal/platform/config/difference.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net/netip"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -108,7 +107,7 @@
 }
 
 // merge returns a sorted list without the dropped names, in which the values
-// of put replace or join the others.
+// of put, sorted too, replace or join the others.
 func merge[T any, K comparable](list, put []T, dropped []K, compare func(a, b T) int, name func(T) K) []T {
 	out := make([]T, 0, len(list)+len(put))
 	gone := make(map[K]bool, len(dropped)+len(put))
@@ -119,11 +118,13 @@
 		gone[name(v)] = true
 	}
 	for _, v := range list {
+		for len(put) > 0 && compare(put[0], v) < 0 {
+			out = append(out, put[0])
+			put = put[1:]
+		}
 		if !gone[name(v)] {
 			out = append(out, v)
 		}
 	}
-	out = append(out, put...)
-	slices.SortFunc(out, compare)
-	return out
+	return append(out, put...)
 }
--- a/internal/platform/config/fleet.go
+++ b/internal/platform/config/fleet.go
@@ -31,8 +31,8 @@
 	if v := f.Get("domain"); v.Exists() {
 		fleet.Domain = l.host(v)
 	}
-	l.readRegions(f.Need("regions"))
-	l.readDomains(f.Need("domains"))
+	l.readRegions(l.some(f.Need("regions")))
+	l.readDomains(l.some(f.Need("domains")))
 	l.readLinks(f.Get("links"))
 	l.readBlocks(f.Get("blocks"))
 	l.readTeams(f.Need("teams"))
--- a/internal/platform/config/head.go
+++ b/internal/platform/config/head.go
@@ -102,15 +102,21 @@
 // Sum returns the digest of the whole configuration in canonical form.
 func Sum(c *sassafrastray.Config) Digest {
 	Sort(c)
-	return sum(c.Number, c.Publish, lines(c))
-}
-
-func sum(number int64, publish string, lines [][]byte) Digest {
 	h := sha256.New()
-	h.Write([]byte(strconv.FormatInt(number, 10) + " " + strconv.Quote(publish) + "\n"))
-	for _, l := range lines {
-		h.Write(l)
+	h.Write([]byte(strconv.FormatInt(c.Number, 10) + " " + strconv.Quote(c.Publish) + "\n"))
+	h.Write(fleetLineOf(c))
+	for i := range c.Services {
+		h.Write(serviceLineOf(&c.Services[i]))
+	}
+	// The blocks go through a small buffer, since there may be megabytes.
+	buf := make([]byte, 0, hashBuffer)
+	for _, b := range c.Fleet.Blocks {
+		if buf = appendBlock(buf, b); len(buf) > hashBuffer-maxBlockLine {
+			h.Write(buf)
+			buf = buf[:0]
+		}
 	}
+	h.Write(buf)
 	return Digest(hex.EncodeToString(h.Sum(nil)))
 }
 
@@ -125,7 +131,7 @@
 func Split(c *sassafrastray.Config, inline int) (Head, map[Digest][]byte, error) {
 	Sort(c)
 	all := lines(c)
-	h := Head{Number: c.Number, Publish: c.Publish, Digest: sum(c.Number, c.Publish, all)}
+	h := Head{Number: c.Number, Publish: c.Publish, Digest: Sum(c)}
 	if size(all) <= inline {
 		if v := marshal(c); len(v) <= inline {
 			h.Value = v
--- /dev/null
+++ b/internal/platform/config/round_test.go
@@ -0,0 +1,280 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"sassafrastray"
+)
+
+func fetchFrom(chunks map[Digest][]byte) func(Digest) ([]byte, error) {
+	return func(d Digest) ([]byte, error) {
+		if b, ok := chunks[d]; ok {
+			return b, nil
+		}
+		return nil, errors.New("no such chunk")
+	}
+}
+
+func equal(a, b *sassafrastray.Config) bool {
+	Sort(a)
+	Sort(b)
+	return bytes.Equal(Encode(a), Encode(b))
+}
+
+// shuffled returns the configuration with its lists in another order.
+func shuffled(t *rapid.T, c *sassafrastray.Config) *sassafrastray.Config {
+	d, err := Decode(Encode(c))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 0))
+	r.Shuffle(len(d.Services), reflect.Swapper(d.Services))
+	r.Shuffle(len(d.Fleet.Blocks), reflect.Swapper(d.Fleet.Blocks))
+	r.Shuffle(len(d.Fleet.Teams), reflect.Swapper(d.Fleet.Teams))
+	for i := range d.Services {
+		if m := d.Services[i].Move; m != nil {
+			m.Deadline = m.Deadline.In(time.FixedZone("", 7*3600))
+		}
+		r.Shuffle(len(d.Services[i].Backends), reflect.Swapper(d.Services[i].Backends))
+	}
+	return d
+}
+
+// TestRoundTrip takes configurations apart and puts them together again.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawConfig(t, 1500)
+		want := Sum(c)
+		if got := Sum(shuffled(t, c)); got != want {
+			t.Fatalf("the order of lists changes the digest: %s, %s", got, want)
+		}
+		inline := rapid.SampledFrom([]int{0, MaxInline}).Draw(t, "inline")
+		h, chunks, err := Split(c, inline)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h, err = ParseHead(h.Encode())
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Assemble(h, fetchFrom(chunks))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !equal(got, c) || Sum(got) != want {
+			t.Fatalf("%s\nbecame\n%s", Encode(c), Encode(got))
+		}
+	})
+}
+
+// TestDifference applies differences and compares the result with the
+// configuration that they were made for.
+func TestDifference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := drawConfig(t, 60)
+		b := drawChange(t, a)
+		before := Encode(a)
+		data, err := json.Marshal(Diff(a, b))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var d Difference
+		if err := json.Unmarshal(data, &d); err != nil {
+			t.Fatal(err)
+		}
+		got, err := Apply(a, d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !equal(got, b) {
+			t.Fatalf("%s\nbecame\n%s\ninstead of\n%s", Encode(a), Encode(got), Encode(b))
+		}
+		if !bytes.Equal(before, Encode(a)) {
+			t.Fatal("the configuration that a difference was applied to has changed")
+		}
+		if _, err := Apply(b, d); err == nil && StampOf(a) != StampOf(b) {
+			t.Fatal("a difference was applied to another configuration than its own")
+		}
+	})
+}
+
+// TestDamage flips bits in everything that travels. The result is either an
+// error or the right configuration.
+func TestDamage(t *testing.T) {
+	flip := func(t *rapid.T, b []byte) []byte {
+		b = bytes.Clone(b)
+		for range rapid.IntRange(1, 3).Draw(t, "flips") {
+			i := rapid.IntRange(0, len(b)-1).Draw(t, "byte")
+			b[i] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
+		}
+		return b
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		a := drawConfig(t, 40)
+		b := drawChange(t, a)
+		want := Sum(b)
+		h, chunks, err := Split(b, rapid.SampledFrom([]int{0, MaxInline}).Draw(t, "inline"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		head := h.Encode()
+		if len(h.Chunks) == 0 || rapid.Bool().Draw(t, "in head") {
+			head = flip(t, head)
+		} else {
+			d := rapid.SampledFrom(h.Chunks).Draw(t, "chunk")
+			chunks[d] = flip(t, chunks[d])
+		}
+		if h, err := ParseHead(head); err == nil {
+			c, err := Assemble(h, fetchFrom(chunks))
+			if err == nil && (Sum(c) != want || h.Number != c.Number || h.Publish != c.Publish) {
+				t.Fatalf("damage is taken for configuration %d", c.Number)
+			}
+		}
+		data, err := json.Marshal(Diff(a, b))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var d Difference
+		if err := json.Unmarshal(flip(t, data), &d); err != nil {
+			return
+		}
+		if c, err := Apply(a, d); err == nil && Sum(c) != want {
+			t.Fatalf("a damaged difference leads to another configuration: %s", Encode(c))
+		}
+	})
+}
+
+// manyBlocks returns 150,000 blocks for 200 sites, in long runs as registries
+// give them out.
+func manyBlocks() []sassafrastray.Block {
+	r := rand.New(rand.NewPCG(1, 2))
+	var out []sassafrastray.Block
+	site := 0
+	for i := range 150_000 {
+		if r.IntN(8) == 0 {
+			site = r.IntN(200)
+		}
+		a := netip.AddrFrom4([4]byte{byte(11 + i>>16), byte(i >> 8), byte(i), 0})
+		out = append(out, sassafrastray.Block{
+			Prefix: netip.PrefixFrom(a, 24), Region: sassafrastray.RegionName(fmt.Sprintf("site-%03d", site)),
+		})
+	}
+	return out
+}
+
+// TestFewChunksChange changes five of 150,000 blocks, adds and drops one. Each
+// may change the chunk that it is in and the one after it.
+func TestFewChunksChange(t *testing.T) {
+	c := &sassafrastray.Config{Fleet: sassafrastray.Fleet{Blocks: manyBlocks()}}
+	h, chunks, err := Split(c, MaxInline)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &sassafrastray.Config{Fleet: sassafrastray.Fleet{Blocks: slices.Clone(c.Fleet.Blocks)}}
+	for i := range 5 {
+		d.Fleet.Blocks[20_000*i+77].Region = "site-moved"
+	}
+	d.Fleet.Blocks = slices.Delete(d.Fleet.Blocks, 110_000, 110_001)
+	d.Fleet.Blocks = slices.Insert(d.Fleet.Blocks, 130_000, sassafrastray.Block{
+		Prefix: netip.MustParsePrefix("12.250.0.0/16"), Region: "site-new",
+	})
+	h2, chunks2, err := Split(d, MaxInline)
+	if err != nil {
+		t.Fatal(err)
+	}
+	added, bytes, all := 0, 0, 0
+	for digest, b := range chunks2 {
+		all += len(b)
+		if _, ok := chunks[digest]; !ok {
+			added++
+			bytes += len(b)
+		}
+	}
+	if added > 14 || len(h2.Chunks) < 40 {
+		t.Errorf("%d of %d chunks are new", added, len(h2.Chunks))
+	}
+	t.Logf("%d chunks of %d bytes; after the change %d are new, %d bytes", len(h.Chunks), all, added, bytes)
+}
+
+func BenchmarkSplit(b *testing.B) {
+	c := &sassafrastray.Config{Fleet: sassafrastray.Fleet{Blocks: manyBlocks()}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := Split(c, MaxInline); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkAssemble(b *testing.B) {
+	c := &sassafrastray.Config{Fleet: sassafrastray.Fleet{Blocks: manyBlocks()}}
+	h, chunks, err := Split(c, MaxInline)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Assemble(h, fetchFrom(chunks)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkSum(b *testing.B) {
+	c := &sassafrastray.Config{Fleet: sassafrastray.Fleet{Blocks: manyBlocks()}}
+	b.ReportAllocs()
+	for b.Loop() {
+		Sum(c)
+	}
+}
+
+// BenchmarkApply applies a difference of five blocks.
+func BenchmarkApply(b *testing.B) {
+	c := &sassafrastray.Config{Number: 1, Fleet: sassafrastray.Fleet{Blocks: manyBlocks()}}
+	d := &sassafrastray.Config{Number: 2, Fleet: sassafrastray.Fleet{Blocks: slices.Clone(c.Fleet.Blocks)}}
+	for i := range 5 {
+		d.Fleet.Blocks[20_000*i+77].Region = "site-moved"
+	}
+	diff := Diff(c, d)
+	data, err := json.Marshal(diff)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Apply(c, diff); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(data)), "bytes/difference")
+}
+
+// TestHeadContradictsValue has heads whose number or publish id is not that of
+// the configuration they hold.
+func TestHeadContradictsValue(t *testing.T) {
+	h, _, err := Split(&sassafrastray.Config{Number: 3, Publish: "nok/1"}, MaxInline)
+	if err != nil {
+		t.Fatal(err)
+	}
+	number, publish := h, h
+	number.Number, publish.Publish = 4, "lek/1"
+	for _, wrong := range []Head{number, publish} {
+		if c, err := Assemble(wrong, nil); err == nil {
+			t.Errorf("head of %d by %s is taken for %d by %s", wrong.Number, wrong.Publish, c.Number, c.Publish)
+		}
+	}
+	if _, err := Assemble(h, nil); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/platform/config/route.go
+++ b/internal/platform/config/route.go
@@ -49,7 +49,6 @@
 		}
 		out = append(out, r)
 	}
-	l.some(n, nil)
 	return out
 }
 
--- a/internal/platform/config/service.go
+++ b/internal/platform/config/service.go
@@ -42,11 +42,11 @@
 	} else if s.Name != "" {
 		l.services[s.Name] = n.File()
 	}
-	s.Hosts = l.readHosts(f.Need("hosts"), s.Name)
-	s.Regions = l.readServiceRegions(f.Need("regions"))
+	s.Hosts = l.readHosts(l.some(f.Need("hosts")), s.Name)
+	s.Regions = l.readServiceRegions(l.some(f.Need("regions")))
 	s.Teams = l.readAllowances(f.Get("teams"))
-	s.Routes = l.readRoutes(f.Need("routes"))
-	l.readBackends(f.Need("backends"), &s)
+	s.Routes = l.readRoutes(l.some(f.Need("routes")))
+	l.readBackends(l.some(f.Need("backends")), &s)
 	if v := f.Get("move"); v.Exists() {
 		s.Move = l.readMove(v)
 	}
@@ -69,15 +69,15 @@
 		l.hosts[h] = service
 		out = append(out, h)
 	}
-	return l.some(n, out)
+	return out
 }
 
-// some reports a list that holds nothing although it must.
-func (l *loader) some(n document.Node, out []string) []string {
-	if n.Exists() && n.IsList() && len(n.Items()) == 0 {
+// some reports a list that holds nothing although it must, and returns it.
+func (*loader) some(n document.Node) document.Node {
+	if n.IsList() && len(n.Items()) == 0 {
 		n.Problem("must hold at least one")
 	}
-	return out
+	return n
 }
 
 func (l *loader) readServiceRegions(n document.Node) []sassafrastray.RegionName {
@@ -95,7 +95,6 @@
 		seen[r] = true
 		out = append(out, r)
 	}
-	l.some(n, nil)
 	return out
 }
 
@@ -141,7 +140,6 @@
 		l.checkBackend(f, &b, s)
 		s.Backends = append(s.Backends, b)
 	}
-	l.some(n, nil)
 }
 
 func (l *loader) checkBackend(f document.Fields, b *sassafrastray.BackendServer, s *sassafrastray.Service) {
--- a/internal/platform/document/node.go
+++ b/internal/platform/document/node.go
@@ -31,8 +31,8 @@
 // that grow beyond it have formats of their own.
 const MaxSize = 4 << 20
 
-// maxDepth bounds the nesting of brackets, which the parser follows by
-// recursion.
+// maxDepth bounds the nesting within a line, which the parser follows by
+// recursion and in quadratic time.
 const maxDepth = 64
 
 // Parse reads one YAML document. Mistakes of syntax go to the report, and the
@@ -44,7 +44,7 @@
 		return n
 	}
 	if deep(data) {
-		n.Problem("nests brackets more than %d deep", maxDepth)
+		n.Problem("nests brackets or dashes more than %d deep", maxDepth)
 		return n
 	}
 	body, err := parse(data)
@@ -80,18 +80,24 @@
 	return parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
 }
 
-// deep tells whether brackets nest beyond maxDepth. Brackets inside strings
-// count too, which no sensible file notices.
+// deep tells whether brackets, or dashes on one line, nest beyond maxDepth.
+// Brackets inside strings count too, which no sensible file notices.
 func deep(data []byte) bool {
-	depth := 0
-	for _, c := range data {
+	depth, dashes := 0, 0
+	for i, c := range data {
 		switch c {
 		case '[', '{':
 			depth++
 		case ']', '}':
 			depth = max(0, depth-1)
+		case '-':
+			if i+1 < len(data) && data[i+1] == ' ' {
+				dashes++
+			}
+		case '\n':
+			dashes = 0
 		}
-		if depth > maxDepth {
+		if depth > maxDepth || dashes > maxDepth {
 			return true
 		}
 	}
@@ -184,7 +190,7 @@
 // Need returns a field and reports it if it is absent.
 func (f Fields) Need(name string) Node {
 	v := f.Get(name)
-	if !v.Exists() && f.node.Exists() {
+	if !v.Exists() && f.node.IsMapping() {
 		v.Problem("is missing")
 	}
 	return v
@@ -275,8 +281,10 @@
 		return "a list"
 	case *ast.StringNode, *ast.LiteralNode:
 		return "text"
-	case *ast.IntegerNode, *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
-		return "a number"
+	case *ast.IntegerNode:
+		return "a whole number"
+	case *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
+		return "a fraction"
 	case *ast.BoolNode:
 		return "true or false"
 	case *ast.AnchorNode, *ast.AliasNode, *ast.MergeKeyNode:
--- a/internal/platform/document/scalar.go
+++ b/internal/platform/document/scalar.go
@@ -24,15 +24,15 @@
 	amountPattern = regexp.MustCompile(`^([0-9]+(?:\.[0-9]+)?) ?([A-Za-z]*)(/s)?$`)
 )
 
-// Text reads a string.
+// Text reads a string that is not empty.
 func (n Node) Text() string {
 	switch v := n.value.(type) {
 	case nil:
 		return ""
 	case *ast.StringNode:
-		return v.Value
+		return n.filled(v.Value)
 	case *ast.LiteralNode:
-		return v.Value.Value
+		return n.filled(v.Value.Value)
 	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
 		n.Problem("must be text; put %s in quotes", v.GetToken().Value)
 	default:
@@ -41,14 +41,18 @@
 	return ""
 }
 
+func (n Node) filled(s string) string {
+	if s == "" {
+		n.Problem("is empty")
+	}
+	return s
+}
+
 // Name reads a name: lower-case letters, digits, dots, dashes and underscores,
 // at most 63.
 func (n Node) Name() string {
 	s := n.Text()
-	if s == "" && !n.Exists() {
-		return ""
-	}
-	if s == "" && !isText(n.value) {
+	if s == "" {
 		return ""
 	}
 	if !namePattern.MatchString(s) {
@@ -229,14 +233,6 @@
 	return ""
 }
 
-func isText(n ast.Node) bool {
-	switch n.(type) {
-	case *ast.StringNode, *ast.LiteralNode:
-		return true
-	}
-	return false
-}
-
 func whole(v any) (int64, bool) {
 	switch i := v.(type) {
 	case int64:
