Stop a waiting request from counting as its own predecessor

Cause: a Take that has to wait is counted among those that wait. On its next try it found itself in front of it; with a burst of 1, one waiting request is all that the limit allows, so each such request was refused after its first 25 ms although the token was free on another VM. Ruled out: subtracting what is due about now (it stood there, and gave the request's own count back when it was the only one); a longer wait. Change: Book.Again takes the request's earlier count off before it takes.

--- a/internal/fleet/vm/shared.go
+++ b/internal/fleet/vm/shared.go
@@ -32,7 +32,18 @@
 func (b *book) Take(key string, n float64, now time.Time) quota.Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	v := b.book.Take(key, n, now)
+	return b.ask(b.book.Take(key, n, now))
+}
+
+// Again is Take for a request that waited as an earlier verdict told it to.
+func (b *book) Again(key string, n float64, s quota.Stamp, now time.Time) quota.Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ask(b.book.Again(key, n, s, now))
+}
+
+// ask wakes the control goroutine if a request has to wait for tokens.
+func (b *book) ask(v quota.Verdict) quota.Verdict {
 	if !v.OK && v.Wait > 0 {
 		select {
 		case b.short <- struct{}{}:
--- a/internal/limit/quota/demand.go
+++ b/internal/limit/quota/demand.go
@@ -60,14 +60,29 @@
 	return total - due
 }
 
+// remove ends the count of n tokens that add counted until due.
+func (w *waiting) remove(n float64, due, now time.Time) {
+	w.sum(now)
+	at := due.UnixNano() / int64(slotLength)
+	if at < w.first || at >= w.first+slots {
+		return
+	}
+	n = min(n, w.slot[at%slots])
+	w.slot[at%slots] -= n
+	w.total -= n
+}
+
 // add counts n tokens until a little after now+wait, because a request that
 // tries again late must not be overlooked in between.
-func (w *waiting) add(n float64, now time.Time, wait time.Duration) {
+//
+// It returns the time until which they are counted.
+func (w *waiting) add(n float64, now time.Time, wait time.Duration) time.Time {
 	w.sum(now)
 	at := now.Add(wait+lateness).UnixNano() / int64(slotLength)
 	at = min(at, w.first+slots-1)
 	w.slot[at%slots] += n
 	w.total += n
+	return time.Unix(0, at*int64(slotLength))
 }
 
 // measure updates the demand from the arrivals since the last Tick.
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -73,14 +73,15 @@
 		Wait time.Duration
 		// Known is false if no limit has the key.
 		Known bool
-		// Stamp identifies the Take towards Refund.
+		// Stamp identifies the Take towards Refund and Again.
 		Stamp Stamp
 	}
 
 	// Stamp is when tokens were taken and what their bucket had lost to its
-	// capacity by then.
+	// capacity by then, or until when a request that waits is counted.
 	Stamp struct {
 		taken time.Time
+		due   time.Time
 		spill float64
 	}
 
@@ -193,13 +194,22 @@
 		e.take(n)
 		return Verdict{OK: true, Known: true, Stamp: Stamp{taken: now, spill: e.spill}}
 	}
-	wait := e.delay(n, now, b.opt)
-	if wait > 0 {
-		e.waiting.add(n, now, wait)
+	v := Verdict{Wait: e.delay(n, now, b.opt), Known: true}
+	if v.Wait > 0 {
+		v.Stamp.due = e.waiting.add(n, now, v.Wait)
 	} else {
 		e.arrived += n
 	}
-	return Verdict{Wait: wait, Known: true}
+	return v
+}
+
+// Again is Take for a request that waited as long as an earlier verdict said.
+// It no longer counts as one of those that wait ahead of it.
+func (b *Book) Again(key string, n float64, s Stamp, now time.Time) Verdict {
+	if e := b.entries[key]; e != nil {
+		e.waiting.remove(n, s.due, now)
+	}
+	return b.Take(key, n, now)
 }
 
 // check suspends the base share if the control loop was paused, and starts
--- a/internal/traffic/entry/handler.go
+++ b/internal/traffic/entry/handler.go
@@ -51,6 +51,7 @@
 	// It is safe for concurrent use.
 	Quotas interface {
 		Take(key string, n float64, now time.Time) quota.Verdict
+		Again(key string, n float64, s quota.Stamp, now time.Time) quota.Verdict
 		Refund(key string, n float64, s quota.Stamp, now time.Time)
 	}
 
--- a/internal/traffic/entry/kept.go
+++ b/internal/traffic/entry/kept.go
@@ -80,11 +80,8 @@
 // token takes a token of the team's quota, waiting a little for one that is
 // about to come.
 func (h *Handler) token(in *inbound, giveUp time.Time) (quota.Stamp, *refusal) {
-	for {
-		v := h.take(in)
-		if v.OK {
-			return v.Stamp, nil
-		}
+	v := h.take(in)
+	for !v.OK {
 		now := h.Clock.Now()
 		if v.Wait <= 0 || now.Add(v.Wait).After(giveUp) || now.Add(v.Wait).After(in.deadline) {
 			r := notRun(sassafrastray.ReasonQuota, string(in.team))
@@ -94,7 +91,9 @@
 		if !in.sleep(v.Wait) {
 			return v.Stamp, notRun(sassafrastray.ReasonGone, "")
 		}
+		v = h.Quotas.Again(QuotaKey(in.service.Name, in.team), 1, v.Stamp, h.Clock.Now())
 	}
+	return v.Stamp, nil
 }
 
 // sleep waits, and reports false if the caller hung up meanwhile.
