Steer teams with small bursts, and update from an older configuration

Cause: a burst of 5 spread over 11 VMs is refused for rounding, and a VM that has all but a few chunks would read all of them again.

Ruled out: naming a single VM to such a team, whose callers would be without one until the answer expires when it fails: a second VM comes with a thousandth of the weight.

Conclusion: small teams get two VMs, of which they use one.

--- a/cmd/sassafrastray/lookup.go
+++ b/cmd/sassafrastray/lookup.go
@@ -18,6 +18,7 @@
 	Service string         `arg:"" help:"Service that the caller looks up."`
 	VM      netip.AddrPort `help:"Operations address of the VM to ask." name:"vm" required:""`
 	From    netip.Addr     `help:"Address of the caller; by default this machine's."`
+	Team    string         `help:"Team whose key the caller shows."`
 	Explain bool           `help:"Also print why."`
 	JSON    bool           `help:"Print JSON." name:"json"`
 }
@@ -35,6 +36,9 @@
 	if c.From.IsValid() {
 		q.Set(lookup.ParamFrom, c.From.String())
 	}
+	if c.Team != "" {
+		q.Set(lookup.ParamTeam, c.Team)
+	}
 	if c.Explain {
 		q.Set(lookup.ParamExplain, "1")
 	}
@@ -73,6 +77,9 @@
 		block = "no block, so the answering VM's region counts"
 	}
 	fmt.Fprintf(std.out, "caller %v: %s, nearest region %s\n", e.Caller, block, e.Near)
+	if e.Team != "" {
+		fmt.Fprintf(std.out, "team %s: its burst is small, so it is steered to few VMs\n", e.Team)
+	}
 	for _, r := range e.Regions {
 		delay := r.Delay.String()
 		if r.Delay < 0 {
--- a/cmd/sassafrastray/main_test.go
+++ b/cmd/sassafrastray/main_test.go
@@ -108,7 +108,7 @@
 	err = fasthttp.ListenAndServe(os.Args[1], func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
 		case lookup.Path:
-			lookup.Handle(ctx, s, true)
+			lookup.Handle(ctx, s, "", true)
 		case statusPath:
 			b, err := os.ReadFile(os.Args[3])
 			if err != nil {
--- a/internal/platform/config/fleet.go
+++ b/internal/platform/config/fleet.go
@@ -195,7 +195,7 @@
 		return sassafrastray.Block{}, "must be a block of addresses and a region, such as \"10.1.0.0/16 north\""
 	}
 	p, err := netip.ParsePrefix(fields[0])
-	if err != nil {
+	if err != nil || p.Addr().Is4In6() {
 		return sassafrastray.Block{}, fmt.Sprintf("%q is not a block of addresses such as 10.1.0.0/16", fields[0])
 	}
 	if p != p.Masked() {
--- a/internal/platform/config/head.go
+++ b/internal/platform/config/head.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -155,6 +156,24 @@
 // the encoded chunk with the digest. A configuration whose content does not
 // match the head's digests is an error, never a result.
 func Assemble(h Head, fetch func(Digest) ([]byte, error)) (*sassafrastray.Config, error) {
+	return assemble(h, nil, fetch)
+}
+
+// Update does what Assemble does, and takes the chunks that the head shares
+// with an older configuration from there in place of fetching them.
+func Update(old *sassafrastray.Config, h Head, fetch func(Digest) ([]byte, error)) (*sassafrastray.Config, error) {
+	if len(h.Value) > 0 {
+		return Assemble(h, fetch)
+	}
+	Sort(old)
+	have := map[Digest][]byte{}
+	for _, plain := range cut(lines(old)) {
+		have[digest(plain)] = plain
+	}
+	return assemble(h, have, fetch)
+}
+
+func assemble(h Head, have map[Digest][]byte, fetch func(Digest) ([]byte, error)) (*sassafrastray.Config, error) {
 	var (
 		c   *sassafrastray.Config
 		err error
@@ -162,7 +181,7 @@
 	if len(h.Value) > 0 {
 		c, err = Decode(h.Value)
 	} else {
-		c, err = join(h, fetch)
+		c, err = join(h, have, fetch)
 	}
 	if err != nil {
 		return nil, err
@@ -173,25 +192,49 @@
 	return c, nil
 }
 
-func join(h Head, fetch func(Digest) ([]byte, error)) (*sassafrastray.Config, error) {
-	c := &sassafrastray.Config{Number: h.Number, Publish: h.Publish}
+func join(h Head, have map[Digest][]byte, fetch func(Digest) ([]byte, error)) (*sassafrastray.Config, error) {
+	var (
+		c     = &sassafrastray.Config{Number: h.Number, Publish: h.Publish}
+		all   = make([][]byte, 0, len(h.Chunks))
+		count = 0
+	)
 	for _, d := range h.Chunks {
-		packed, err := fetch(d)
-		if err != nil {
-			return nil, errors.Wrapf(err, "chunk %s", d)
-		}
-		plain, err := unpack(packed)
-		if err != nil {
-			return nil, errors.Wrapf(err, "chunk %s", d)
+		plain, ok := have[d]
+		if !ok {
+			var err error
+			if plain, err = fetchPlain(d, fetch); err != nil {
+				return nil, errors.Wrapf(err, "chunk %s", d)
+			}
 		}
-		if digest(plain) != d {
-			return nil, errors.Newf("chunk %s does not match its digest", d)
+		count += bytes.Count(plain, []byte("\n"))
+		all = append(all, plain)
+	}
+	for i, plain := range all {
+		// Almost all lines are blocks where there are many, and growing
+		// their list step by step would copy it several times.
+		if bytes.HasPrefix(plain, []byte(blockLine)) {
+			c.Fleet.Blocks = slices.Grow(c.Fleet.Blocks, count-len(c.Fleet.Blocks))
 		}
 		for line := range bytes.Lines(plain) {
 			if err := readLine(c, line); err != nil {
-				return nil, errors.Wrapf(err, "chunk %s", d)
+				return nil, errors.Wrapf(err, "chunk %s", h.Chunks[i])
 			}
 		}
 	}
 	return c, nil
 }
+
+func fetchPlain(d Digest, fetch func(Digest) ([]byte, error)) ([]byte, error) {
+	packed, err := fetch(d)
+	if err != nil {
+		return nil, err
+	}
+	plain, err := unpack(packed)
+	if err != nil {
+		return nil, err
+	}
+	if digest(plain) != d {
+		return nil, errors.New("its content does not match its digest")
+	}
+	return plain, nil
+}
--- a/internal/platform/config/round_test.go
+++ b/internal/platform/config/round_test.go
@@ -75,6 +75,9 @@
 		if !equal(got, c) || Sum(got) != want {
 			t.Fatalf("%s\nbecame\n%s", Encode(c), Encode(got))
 		}
+		if got, err = Update(drawChange(t, c), h, fetchFrom(chunks)); err != nil || Sum(got) != want {
+			t.Fatalf("update: %v", err)
+		}
 	})
 }
 
@@ -204,6 +207,14 @@
 	if added > 14 || len(h2.Chunks) < 40 {
 		t.Errorf("%d of %d chunks are new", added, len(h2.Chunks))
 	}
+	fetched := 0
+	got, err := Update(c, h2, func(d Digest) ([]byte, error) {
+		fetched++
+		return fetchFrom(chunks2)(d)
+	})
+	if err != nil || Sum(got) != Sum(d) || fetched != added {
+		t.Errorf("update: %v, %d chunks fetched", err, fetched)
+	}
 	t.Logf("%d chunks of %d bytes; after the change %d are new, %d bytes", len(h.Chunks), all, added, bytes)
 }
 
@@ -231,6 +242,26 @@
 	}
 }
 
+// BenchmarkUpdate updates by the head of a configuration with five other
+// blocks.
+func BenchmarkUpdate(b *testing.B) {
+	c := &sassafrastray.Config{Fleet: sassafrastray.Fleet{Blocks: manyBlocks()}}
+	d := &sassafrastray.Config{Fleet: sassafrastray.Fleet{Blocks: slices.Clone(c.Fleet.Blocks)}}
+	for i := range 5 {
+		d.Fleet.Blocks[20_000*i+77].Region = "site-moved"
+	}
+	h, chunks, err := Split(d, MaxInline)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Update(c, h, fetchFrom(chunks)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func BenchmarkSum(b *testing.B) {
 	c := &sassafrastray.Config{Fleet: sassafrastray.Fleet{Blocks: manyBlocks()}}
 	b.ReportAllocs()
--- a/internal/platform/document/scalar.go
+++ b/internal/platform/document/scalar.go
@@ -174,7 +174,7 @@
 		return netip.Prefix{}
 	}
 	p, err := netip.ParsePrefix(n.word())
-	if err != nil {
+	if err != nil || p.Addr().Is4In6() {
 		n.Problem("must be a block of addresses such as 10.1.0.0/16")
 		return netip.Prefix{}
 	}
--- a/internal/traffic/lookup/explain.go
+++ b/internal/traffic/lookup/explain.go
@@ -16,6 +16,9 @@
 		// the region of the answering VM.
 		Block string                   `json:"block,omitempty"`
 		Near  sassafrastray.RegionName `json:"near"`
+		// Team is the one whose small burst steers it to few VMs. It is
+		// empty if the answer does not depend on the team.
+		Team sassafrastray.TeamName `json:"team,omitempty"`
 		// Chosen is the region of the VMs in the answer.
 		Chosen sassafrastray.RegionName `json:"chosen"`
 		// Regions are in the order in which they are tried.
@@ -39,10 +42,11 @@
 	}
 )
 
-// Explain returns the answer for a caller and how it comes about. It is false
-// if there is no such service.
-func (s *Snapshot) Explain(service sassafrastray.ServiceName, caller netip.Addr) (Explanation, bool) {
-	if _, ok := s.services[service]; !ok {
+// Explain returns the answer for a team's caller and how it comes about. It is
+// false if there is no such service.
+func (s *Snapshot) Explain(service sassafrastray.ServiceName, team sassafrastray.TeamName, caller netip.Addr) (Explanation, bool) {
+	i, ok := s.services[service]
+	if !ok {
 		return Explanation{}, false
 	}
 	e := Explanation{Caller: caller, Near: s.region(caller)}
@@ -51,6 +55,11 @@
 	}
 	vms, chosen := s.choose(service, e.Near)
 	e.Chosen = chosen
+	if a := s.in.Config.Services[i].Allowance(team); a != nil {
+		if few, steered := steer(vms, team, a.Burst); steered {
+			vms, e.Team = few, team
+		}
+	}
 	e.Answer = Answer{service, s.in.Config.Number, s.ttl(), vms}
 	named := map[sassafrastray.VMName]bool{}
 	for _, v := range vms {
@@ -93,5 +102,5 @@
 	case m.Weight <= 0:
 		return "no headroom"
 	}
-	return "enough others"
+	return "others are enough for the team's burst, or for the service"
 }
--- a/internal/traffic/lookup/handler.go
+++ b/internal/traffic/lookup/handler.go
@@ -13,15 +13,17 @@
 const (
 	Path         = "/lookup"
 	ParamService = "service"
-	// ParamFrom is the address to answer for in place of the caller's own,
-	// and ParamExplain asks for an Explanation. Operators alone may use them.
+	// ParamFrom and ParamTeam are the address and the team to answer for in
+	// place of the caller's own, and ParamExplain asks for an Explanation.
+	// Operators alone may use them.
 	ParamFrom    = "from"
+	ParamTeam    = "team"
 	ParamExplain = "explain"
 )
 
-// Handle answers a look-up. Operator tells that the request came in at the
-// operations address.
-func Handle(ctx *fasthttp.RequestCtx, s *Snapshot, operator bool) {
+// Handle answers a look-up. Team is the one whose key came with it, if any.
+// Operator tells that the request came in at the operations address.
+func Handle(ctx *fasthttp.RequestCtx, s *Snapshot, team sassafrastray.TeamName, operator bool) {
 	args := ctx.QueryArgs()
 	service := sassafrastray.ServiceName(args.Peek(ParamService))
 	caller := remote(ctx)
@@ -33,11 +35,14 @@
 		}
 		caller = a
 	}
+	if name := args.Peek(ParamTeam); operator && len(name) > 0 {
+		team = sassafrastray.TeamName(name)
+	}
 	if operator && args.Has(ParamExplain) {
-		explain(ctx, s, service, caller)
+		explain(ctx, s, service, team, caller)
 		return
 	}
-	b, ok := s.Answer(service, caller)
+	b, ok := s.AnswerTeam(service, team, caller)
 	if !ok {
 		decline(ctx, s, service)
 		return
@@ -46,8 +51,8 @@
 	ctx.SetBody(b)
 }
 
-func explain(ctx *fasthttp.RequestCtx, s *Snapshot, service sassafrastray.ServiceName, caller netip.Addr) {
-	e, ok := s.Explain(service, caller)
+func explain(ctx *fasthttp.RequestCtx, s *Snapshot, service sassafrastray.ServiceName, team sassafrastray.TeamName, caller netip.Addr) {
+	e, ok := s.Explain(service, team, caller)
 	if !ok {
 		decline(ctx, s, service)
 		return
--- a/internal/traffic/lookup/lookup.go
+++ b/internal/traffic/lookup/lookup.go
@@ -106,13 +106,15 @@
 	region := s.region(caller)
 	j, ok := s.regions[region]
 	if !ok {
-		return s.encode(service, region)
+		vms, _ := s.choose(service, region)
+		return s.encode(service, vms)
 	}
 	slot := &s.answers[i*len(s.regions)+j]
 	if b := slot.Load(); b != nil {
 		return *b, true
 	}
-	b, ok := s.encode(service, region)
+	vms, _ := s.choose(service, region)
+	b, ok := s.encode(service, vms)
 	if ok {
 		slot.Store(&b)
 	}
@@ -127,8 +129,7 @@
 	return s.in.Home
 }
 
-func (s *Snapshot) encode(service sassafrastray.ServiceName, region sassafrastray.RegionName) ([]byte, bool) {
-	vms, _ := s.choose(service, region)
+func (s *Snapshot) encode(service sassafrastray.ServiceName, vms []VM) ([]byte, bool) {
 	if len(vms) == 0 {
 		return nil, false
 	}
--- a/internal/traffic/lookup/lookup_test.go
+++ b/internal/traffic/lookup/lookup_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
 	"pgregory.net/rapid"
 
 	"sassafrastray"
@@ -156,6 +158,38 @@
 	}
 }
 
+// TestSteer has teams with small and large bursts, and VMs that go.
+func TestSteer(t *testing.T) {
+	var vms []VM
+	for i := range 11 {
+		vms = append(vms, VM{Name: sassafrastray.VMName(fmt.Sprint("vm", i)), Weight: 5})
+	}
+	for burst, want := range map[int]int{0: 2, 5: 2, 8: 2, 9: 2, 20: 3, 80: 10, 200: 11} {
+		if got, steered := steer(vms, "coop", burst); len(got) != want || steered != (want < len(vms)) {
+			t.Errorf("burst %d: %d VMs, want %d", burst, len(got), want)
+		}
+	}
+	first := map[sassafrastray.VMName]int{}
+	for i := range 100 {
+		team := sassafrastray.TeamName(fmt.Sprint("team", i))
+		got, _ := steer(vms, team, 5)
+		if got[0].Weight != mainWeight || got[1].Weight != 1 || vms[0].Weight != 5 {
+			t.Fatalf("%+v of %+v", got, vms)
+		}
+		first[got[0].Name]++
+		// A VM that the team does not use changes nothing when it goes.
+		rest := slices.DeleteFunc(slices.Clone(vms), func(v VM) bool {
+			return v.Name != got[0].Name && v.Name != got[1].Name && v.Name > "vm5"
+		})
+		if again, _ := steer(rest, team, 5); !slices.Equal(again, got) {
+			t.Errorf("%s: %+v, then %+v", team, got, again)
+		}
+	}
+	if len(first) < 9 {
+		t.Errorf("100 teams use only %d VMs", len(first))
+	}
+}
+
 // largeInput is a fleet of 200 sites, 1,400 VMs, 100 services and 150,000
 // blocks of clients.
 func largeInput() Input {
@@ -201,7 +235,8 @@
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
-		s.encode("service-1", s.in.Config.Fleet.Regions[i%200].Name)
+		vms, _ := s.choose("service-1", s.in.Config.Fleet.Regions[i%200].Name)
+		s.encode("service-1", vms)
 		i++
 	}
 }
@@ -223,9 +258,27 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		ctx.Response.Reset()
-		Handle(&ctx, s, false)
+		Handle(&ctx, s, "", false)
 	}
 	if ctx.Response.StatusCode() != fasthttp.StatusOK {
 		b.Fatal(ctx.Response.String())
 	}
 }
+
+// BenchmarkHTTP answers look-ups over HTTP. The caller runs on the same core.
+func BenchmarkHTTP(b *testing.B) {
+	s := Build(largeInput())
+	l := fasthttputil.NewInmemoryListener()
+	server := fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { Handle(ctx, s, "", false) }}
+	go func() { _ = server.Serve(l) }()
+	defer l.Close()
+	client := fasthttp.HostClient{Addr: "vm", Dial: func(string) (net.Conn, error) { return l.Dial() }}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("http://vm" + Path + "?service=service-1")
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := client.Do(req, resp); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+			b.Fatal(err, resp.StatusCode())
+		}
+	}
+}
