Write all chunks anew over a broken configuration

Cause: a repair left out the chunks that the broken head refers to, which are the ones that are missing or damaged, so the repaired configuration was broken too. TestRepair shows it: it fails before with "after the repair: chunk ...: not found" and passes after.

Ruled out: nothing.

Change: only the chunks of a configuration that was assembled count as being in the store.

Conclusion: a repair works for missing and for damaged chunks.

--- a/internal/platform/publish/chunk.go
+++ b/internal/platform/publish/chunk.go
@@ -12,14 +12,14 @@
 	"sassafrastray/internal/platform/config"
 )
 
-// writeChunks writes the chunks that the head before does not refer to.
+// writeChunks writes the chunks that are not among those of the head before.
 //
 // Such a chunk is written even if the store has it already: it may be retired
 // and about to be deleted under its present version, and a new version makes
 // that deletion fail.
-func (p *Publisher) writeChunks(ctx context.Context, before config.Head, chunks map[config.Digest][]byte) error {
+func (p *Publisher) writeChunks(ctx context.Context, before []config.Digest, chunks map[config.Digest][]byte) error {
 	for _, d := range slices.Sorted(maps.Keys(chunks)) {
-		if slices.Contains(before.Chunks, d) {
+		if slices.Contains(before, d) {
 			continue
 		}
 		if err := p.writeChunk(ctx, d, chunks[d]); err != nil {
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -142,7 +142,7 @@
 		return Verdict{}, err
 	}
 	h.History, h.Moves = history(base.Head), moves(base.Head, c)
-	if err := p.writeChunks(ctx, base.Head, chunks); err != nil {
+	if err := p.writeChunks(ctx, base.sound(), chunks); err != nil {
 		return Verdict{Outcome: Refused, Publish: p.id, Err: err}, nil
 	}
 	if h.Retired, err = p.retire(ctx, base.Head, h); err != nil {
@@ -166,6 +166,14 @@
 	return config.Sum(a) == config.Sum(&c)
 }
 
+// sound returns the chunks that the store is known to hold undamaged.
+func (b Base) sound() []config.Digest {
+	if b.Config == nil {
+		return nil
+	}
+	return b.Head.Chunks
+}
+
 // Previous returns what a change on this base is judged against.
 func (b Base) Previous() *config.Previous {
 	return &config.Previous{Config: b.Config, Moves: b.Head.Moves}
