--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -30,9 +30,9 @@
 	// previous is what is in force, or nil if that is not known.
 	previous *Previous
 
-	// blind is set if the fleet's file is unreadable: references to what it
+	// unread is set if the fleet's file is unreadable: references to what it
 	// holds are then not reported one by one.
-	blind   bool
+	unread  bool
 	teams   map[sassafrastray.TeamName]bool
 	regions map[sassafrastray.RegionName]bool
 	domains map[sassafrastray.DomainName]sassafrastray.RegionName
@@ -64,7 +64,7 @@
 	if fleet.Exists() {
 		l.readFleet(fleet)
 	}
-	l.blind = !fleet.Exists()
+	l.unread = !fleet.Exists()
 	for _, path := range l.serviceFiles() {
 		if n := l.parse(path); n.Exists() {
 			l.readService(n, strings.TrimSuffix(filepath.Base(path), extension))
--- a/internal/platform/config/fleet.go
+++ b/internal/platform/config/fleet.go
@@ -87,7 +87,7 @@
 // region reads a reference to a region.
 func (l *loader) region(n document.Node) sassafrastray.RegionName {
 	r := sassafrastray.RegionName(n.Name())
-	if r != "" && !l.regions[r] && !l.blind {
+	if r != "" && !l.regions[r] && !l.unread {
 		n.Problem("there is no region %q in %s", r, fleetFile)
 		return ""
 	}
--- a/internal/platform/config/service.go
+++ b/internal/platform/config/service.go
@@ -114,7 +114,7 @@
 		}
 		switch {
 		case a.Team == "":
-		case !l.teams[a.Team] && !l.blind:
+		case !l.teams[a.Team] && !l.unread:
 			f.Get("name").Problem("there is no team %q in %s", a.Team, fleetFile)
 		case seen[a.Team]:
 			f.Get("name").Problem("team %q is given twice", a.Team)
@@ -146,7 +146,7 @@
 }
 
 func (l *loader) checkBackend(f document.Fields, b *sassafrastray.BackendServer, s *sassafrastray.Service) {
-	if region, ok := l.domains[b.Domain]; !ok && b.Domain != "" && !l.blind {
+	if region, ok := l.domains[b.Domain]; !ok && b.Domain != "" && !l.unread {
 		f.Get("domain").Problem("there is no failure domain %q in %s", b.Domain, fleetFile)
 	} else if ok && region != "" && !slices.Contains(s.Regions, region) {
 		f.Get("domain").Problem("failure domain %q is in region %q, which the service does not list", b.Domain, region)
