--- a/internal/platform/config/fleet.go
+++ b/internal/platform/config/fleet.go
@@ -87,7 +87,7 @@
 // region reads a reference to a region.
 func (l *loader) region(n document.Node) sassafrastray.RegionName {
 	r := sassafrastray.RegionName(n.Name())
-	if r != "" && !l.regions[r] && !l.blind {
+	if r != "" && !l.regions[r] && !l.unread {
 		n.Problem("there is no region %q in %s", r, fleetFile)
 		return ""
 	}
@@ -195,7 +195,7 @@
 		return sassafrastray.Block{}, "must be a block of addresses and a region, such as \"10.1.0.0/16 north\""
 	}
 	p, err := netip.ParsePrefix(fields[0])
-	if err != nil {
+	if err != nil || p.Addr().Is4In6() {
 		return sassafrastray.Block{}, fmt.Sprintf("%q is not a block of addresses such as 10.1.0.0/16", fields[0])
 	}
 	if p != p.Masked() {
