--- a/internal/standin/arrival/arrival_test.go
+++ b/internal/standin/arrival/arrival_test.go
@@ -135,3 +135,21 @@
 		}
 	}
 }
+
+// TestShortPhases holds that phases which are short beside the time between
+// arrivals lose none.
+func TestShortPhases(t *testing.T) {
+	const want = 500
+	c := &scenario.Case{
+		Services: []scenario.Service{{Name: "stock", Kinds: []scenario.Kind{{Name: "query", Weight: 1}}}},
+		Teams: []scenario.Team{
+			{Name: "coop", Demand: map[sassafrastray.ServiceName]scenario.Demand{"stock": {Rate: 5}}},
+		},
+	}
+	for range 1000 {
+		c.Phases = append(c.Phases, scenario.Phase{Length: 100 * time.Millisecond, Factor: 1})
+	}
+	if got := float64(len(all(c))); math.Abs(got-want) > 6*math.Sqrt(want) {
+		t.Errorf("%g arrivals, want about %d", got, want)
+	}
+}
--- a/internal/standin/load/path_test.go
+++ b/internal/standin/load/path_test.go
@@ -208,6 +208,13 @@
 		refuse(w)
 	case v.mode == "hang up":
 		panic(http.ErrAbortHandler)
+	case v.mode == "lengthless":
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nResult: ran\r\n\r\n%s", body)
 	default:
 		w.Header().Set("Result", "ran")
 		w.WriteHeader(resp.StatusCode)
