Name the asking team in look-ups, and read only new chunks

Cause: look-ups can steer teams with small bursts, and configurations can be put together from an older one, but the VM used neither. Change: a look-up that carries a key is answered for its team; a new head reads only the chunks that the configuration in force lacks.

--- a/internal/fleet/vm/config.go
+++ b/internal/fleet/vm/config.go
@@ -150,12 +150,7 @@
 		v.log.Error("unreadable head of the configuration; the VM keeps its own", "error", err)
 		return true
 	}
-	c, err := config.Assemble(h, func(d config.Digest) ([]byte, error) {
-		ctx, cancel := context.WithTimeout(v.ctx, storeTimeout)
-		defer cancel()
-		o, err := v.platform.Get(ctx, d.Key())
-		return o.Value, err
-	})
+	c, err := v.assemble(h)
 	if err != nil {
 		v.log.Warn("configuration not assembled", "number", h.Number, "error", err)
 		return false
@@ -167,6 +162,21 @@
 	})
 }
 
+// assemble reads the chunks that the configuration in force lacks.
+func (v *VM) assemble(h config.Head) (*sassafrastray.Config, error) {
+	read := func(d config.Digest) ([]byte, error) {
+		ctx, cancel := context.WithTimeout(v.ctx, storeTimeout)
+		defer cancel()
+		o, err := v.platform.Get(ctx, d.Key())
+		v.metrics.store.WithLabelValues("get", outcome(err)).Inc()
+		return o.Value, err
+	}
+	if old := v.handler.Config(); old != nil {
+		return config.Update(old, h, read)
+	}
+	return config.Assemble(h, read)
+}
+
 // confirm notes that the configuration was the newest at the given time.
 func (v *VM) confirm(at time.Time) {
 	if v.conf.current != nil && at.After(v.conf.confirmed) {
--- a/internal/fleet/vm/status.go
+++ b/internal/fleet/vm/status.go
@@ -98,7 +98,7 @@
 			v.answerStatus(ctx)
 		case lookup.Path:
 			if l := v.handler.Lookups(); l != nil {
-				lookup.Handle(ctx, l, true)
+				lookup.Handle(ctx, l, "", true)
 				return
 			}
 			ctx.Error("no configuration yet", fasthttp.StatusServiceUnavailable)
--- a/internal/traffic/entry/handler.go
+++ b/internal/traffic/entry/handler.go
@@ -105,6 +105,14 @@
 	return nil
 }
 
+// Config returns the configuration in force, or nil.
+func (h *Handler) Config() *sassafrastray.Config {
+	if s := h.snap.Load(); s != nil {
+		return s.Config
+	}
+	return nil
+}
+
 // Update replaces what traffic reads.
 func (h *Handler) Update(s *Snapshot) { h.snap.Store(s) }
 
@@ -124,7 +132,7 @@
 	m := s.Routes.Match(string(ctx.Host()), cleanPath(ctx), string(ctx.Method()))
 	if m.Service == nil && string(ctx.Path()) == lookup.Path {
 		h.Metrics.Lookups.Inc()
-		lookup.Handle(ctx, s.Lookup, false)
+		lookup.Handle(ctx, s.Lookup, asker(ctx, s), false)
 		return
 	}
 	h.active.Add(1)
@@ -141,6 +149,15 @@
 	h.finish(in)
 }
 
+// asker returns the team whose key came with a look-up, or "". A look-up needs
+// no key; one that has it may be steered to where the team's quota is.
+func asker(ctx *fasthttp.RequestCtx, s *Snapshot) sassafrastray.TeamName {
+	found := key.Find(&ctx.Request)
+	k, _ := found.Key()
+	team, _ := s.Keys.Team(k)
+	return team
+}
+
 func (h *Handler) newInbound(ctx *fasthttp.RequestCtx) *inbound {
 	now := h.Clock.Now()
 	return &inbound{ctx: ctx, conn: ctx.Conn(), arrived: now, leave: make(chan struct{}), path: string(ctx.RequestURI())}
