Script publishing through outages and lost answers

Cause: the race test uses a store in memory; nothing showed the verdicts with the real client of the store.

Ruled out: a script of two operators at once: which of them loses hangs on the start of processes. TestRace has it.

Change: a script with answers that are lost after the write took effect, once and for half of all writes, and a store that is busy for a while.

--- a/cmd/sassafrastray/main_test.go
+++ b/cmd/sassafrastray/main_test.go
@@ -28,6 +28,7 @@
 		"store":         serveStore,
 		"vm":            serveVM,
 		"blocks":        printBlocks,
+		"faults":        setFaults,
 	})
 }
 
@@ -85,6 +86,17 @@
 	}
 }
 
+// setFaults switches the faults of the store on, at its control address.
+func setFaults() {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("http://" + os.Args[1] + "/control/faults")
+	req.Header.SetMethod(fasthttp.MethodPut)
+	req.SetBodyString(os.Args[2])
+	if err := fasthttp.Do(req, resp); err != nil || resp.StatusCode() >= 300 {
+		panic(fmt.Sprint(err, resp))
+	}
+}
+
 // serveVM serves a file as status page, and look-ups of a fleet with a VM in
 // each failure domain, until it is killed. Of the domains by name, the first
 // has no headroom and the fourth is suspect.
