--- a/internal/platform/config/config_test.go
+++ b/internal/platform/config/config_test.go
@@ -135,7 +135,8 @@
 }
 
 // FuzzLoad reads anything as operators' files. It must never panic, and what
-// it accepts must survive a round trip.
+// it accepts must survive a round trip. Fuzz it with -fuzzminimizetime 10x, or
+// most of the time goes into making inputs smaller.
 func FuzzLoad(f *testing.F) {
 	files, err := filepath.Glob("testdata/bad/*.txtar")
 	if err != nil {
