Heed contexts while dialling, and callers that find no VM

Cause: a call whose connection was still being opened went on for its 5 s when its context ended. A waiting watch was counted until its wait was over, though its client had gone. A caller without any VM asked anew for each request. A request that no byte of had left counted as unknown.

Ruled out: leaving the dial to its timeout: a VM that stops would hang on a store that takes no connections.

Change: the lane's context ends the dial; the store's stand-in peeks at the connection of a watch; callers wait a second after a look-up that failed; unreached requests count as not run. Health answers carry the same headers as others.

--- a/internal/platform/store/pool.go
+++ b/internal/platform/store/pool.go
@@ -34,10 +34,12 @@
 		sent atomic.Bool
 		// proved is the number of the last call that was answered.
 		proved uint64
+		// open ends when the lane is cut off.
+		open  context.Context
+		close context.CancelFunc
 
 		mu   sync.Mutex
 		conn net.Conn
-		cut  bool
 	}
 
 	// laneConn notes writes in its lane.
@@ -150,6 +152,7 @@
 // newLane returns a lane whose connection is opened by its first call.
 func newLane(addr netip.AddrPort) *lane {
 	l := &lane{}
+	l.open, l.close = context.WithCancel(context.Background())
 	l.http = fasthttp.HostClient{
 		Addr:                      addr.String(),
 		DialTimeout:               l.dial,
@@ -164,13 +167,13 @@
 }
 
 func (l *lane) dial(addr string, limit time.Duration) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", addr, limit)
+	conn, err := (&net.Dialer{Timeout: limit}).DialContext(l.open, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cut {
+	if l.open.Err() != nil {
 		conn.Close()
 		return nil, errCut
 	}
@@ -182,7 +185,7 @@
 func (l *lane) cutOff() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cut = true
+	l.close()
 	if l.conn != nil {
 		l.conn.Close()
 	}
--- a/internal/platform/store/wire_test.go
+++ b/internal/platform/store/wire_test.go
@@ -4,15 +4,19 @@
 	"bufio"
 	"context"
 	"net"
+	"net/netip"
 	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
+	"sassafrastray"
 	"sassafrastray/internal/platform/store"
 )
 
@@ -179,3 +183,40 @@
 		}
 	}
 }
+
+// TestCancelDial holds that a context also ends a call whose connection is not
+// open yet. The server takes no connections, as its queue of them is full.
+func TestCancelDial(t *testing.T) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(fd)
+	addr := unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}
+	if err := errors.CombineErrors(unix.Bind(fd, &addr), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := netip.AddrPortFrom(netip.AddrFrom4(addr.Addr), uint16(name.(*unix.SockaddrInet4).Port))
+	for {
+		conn, err := net.DialTimeout("tcp", server.String(), 300*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer conn.Close()
+	}
+	client := store.New(server, "north-1", "vm-1")
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	start := time.Now()
+	_, err = client.Put(ctx, "a", nil, 0)
+	if !errors.Is(err, sassafrastray.ErrUnavailable) || errors.Is(err, sassafrastray.ErrUnknown) {
+		t.Errorf("put: %v", err)
+	}
+	if d := time.Since(start); d >= store.Timeout {
+		t.Errorf("the call went on for %s", d)
+	}
+}
--- a/internal/standin/backend/handle.go
+++ b/internal/standin/backend/handle.go
@@ -44,6 +44,7 @@
 		ignore(ctx)
 	case string(ctx.Path()) == "/health":
 		writeJSON(ctx, health)
+		h.mark(ctx)
 	default:
 		x := h.admit(ctx, now)
 		if x == nil {
--- a/internal/standin/caller/book.go
+++ b/internal/standin/caller/book.go
@@ -34,7 +34,9 @@
 		choices []choice
 		known   []netip.AddrPort
 		expires time.Time
-		busy    bool
+		// failed is when no VM answered last.
+		failed time.Time
+		busy   bool
 	}
 
 	// choice is a VM that the look-up names.
@@ -64,9 +66,10 @@
 	if vm, ok := b.choose(c, a); ok {
 		return vm, true
 	}
-	if c.clock.Now().Before(deadline) {
-		b.renew(c, a)
+	if now := c.clock.Now(); !now.Before(deadline) || b.failedSince(now.Add(-retryAfter)) {
+		return netip.AddrPort{}, false
 	}
+	b.renew(c, a)
 	return b.choose(c, a)
 }
 
@@ -120,7 +123,14 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.busy, b.expires = false, c.clock.Now().Add(retryAfter)
+	b.busy, b.failed = false, c.clock.Now()
+	b.expires = b.failed.Add(retryAfter)
+}
+
+func (b *book) failedSince(t time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failed.After(t)
 }
 
 func (b *book) fill(l lookup, now time.Time) {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -71,7 +71,9 @@
 	for n := range maxDials {
 		vm, ok := b.pick(c, a, deadline)
 		if !ok {
-			return outcome.Outcome{Class: outcome.Unreached, Redials: n, Detail: "no VM is known"}
+			return outcome.Outcome{
+				Class: outcome.Unreached, Result: sassafrastray.NotRun, Redials: n, Detail: "no VM is known",
+			}
 		}
 		o = c.try(a, order, vm, deadline)
 		o.Redials = n
--- a/internal/standin/caller/link.go
+++ b/internal/standin/caller/link.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"sassafrastray"
 	"sassafrastray/internal/standin/outcome"
 	"sassafrastray/internal/standin/pattern"
 )
@@ -83,7 +84,7 @@
 	o := outcome.Outcome{Class: outcome.Broken, Detail: err.Error()}
 	switch {
 	case errors.As(err, &d):
-		o.Class = outcome.Unreached
+		o.Class, o.Result = outcome.Unreached, sassafrastray.NotRun
 	case errors.Is(err, errWrong), errors.Is(err, pattern.ErrDiffers):
 		o.Class = outcome.Wrong
 	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &ne) && ne.Timeout():
--- a/internal/standin/load/path_test.go
+++ b/internal/standin/load/path_test.go
@@ -81,7 +81,14 @@
 	vm := &entryVM{mode: c.VM, backend: "http://" + f.Servers("*")[0].Listen.String()}
 	front := httptest.NewServer(vm)
 	t.Cleanup(front.Close)
-	vm.address = netip.MustParseAddrPort(strings.TrimPrefix(front.URL, "http://"))
+	address := netip.MustParseAddrPort(strings.TrimPrefix(front.URL, "http://"))
+	vm.address = address
+	if c.VM == "gone" {
+		vm.address = nobody(t)
+	}
+	if c.VM == "down" {
+		front.Close()
+	}
 	text, err := os.ReadFile("testdata/path.yaml")
 	if err != nil {
 		t.Fatal(err)
@@ -90,7 +97,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := caller.New(sassafrastray.SystemClock{}, []netip.AddrPort{vm.address})
+	s := caller.New(sassafrastray.SystemClock{}, []netip.AddrPort{address})
 	defer s.Close()
 	r := load.New(cs, s, load.SystemPacer{}, log, "path", 1000)
 	if err := r.Do(context.Background()); err != nil {
@@ -101,14 +108,17 @@
 		t.Fatal(err)
 	}
 	c.compare(t, counts(r, r.Claims().Audit(entries)))
-	if n := vm.lookups.Load(); n == 0 || n > maxLookups {
-		t.Errorf("%d look-ups", n)
+	if c.VM == "gone" {
+		return // each refused connection leads to another look-up
+	}
+	if n, failed := s.Lookups(); n == 0 || n > maxLookups || vm.lookups.Load() != n-failed {
+		t.Errorf("%d look-ups, %d failed, %d arrived", n, failed, vm.lookups.Load())
 	}
 }
 
-// maxLookups is one for each team and service, as the answers live longer than
-// the run.
-const maxLookups = 2
+// maxLookups is one for the team and service, as the answer lives longer than
+// the run, and as a caller that found no VM waits before it asks again.
+const maxLookups = 1
 
 func (c pathCase) compare(t *testing.T, got map[string]int) {
 	for _, name := range c.Want {
@@ -166,6 +176,16 @@
 	return f, control.AddrPort()
 }
 
+// nobody returns an address that refuses connections.
+func nobody(t *testing.T) netip.AddrPort {
+	g, err := gate.New(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Close()
+	return g.AddrPort()
+}
+
 func (v *entryVM) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/lookup" {
 		v.lookups.Add(1)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -193,6 +193,8 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	closed, stop := ctx.Conn().(*gate.Conn).Watch()
+	defer stop()
 	p.count(1)
 	defer p.count(-1)
 	for over := false; ; {
@@ -213,6 +215,9 @@
 		case <-changed:
 		case <-timer.C:
 			over = true
+		case <-closed:
+			hangUp(ctx)
+			return
 		}
 	}
 }
