Compare runs with others, and shorten the report's field names

Cause: what the system adds had to be worked out by hand from two spreads, and the JSON report had field names of several words.

Ruled out: one table that mixes both kinds of runs; a spread still declines runs that differ.

Figures: go test -race ./internal/standin/report ./internal/standin/load ./cmd/standin: ok; the golden text and spread did not change.

Conclusion: the figures are as before; compare.golden holds the new table.

--- a/internal/standin/audit/audit.go
+++ b/internal/standin/audit/audit.go
@@ -44,7 +44,7 @@
 		Repeated int `json:"repeated"`
 		// NotRun counts the requests that were executed although the answer
 		// says that they were not.
-		NotRun int `json:"notRun"`
+		NotRun int `json:"untrue"`
 		// Missing counts the requests that no server executed although the
 		// answer says so.
 		Missing int `json:"missing"`
@@ -56,7 +56,7 @@
 		// Unknown counts the requests whose callers do not know whether
 		// they ran, and UnknownRan those among them that did.
 		Unknown    int      `json:"unknown"`
-		UnknownRan int      `json:"unknownRan"`
+		UnknownRan int      `json:"ran"`
 		Quotas     []Quota  `json:"quotas"`
 		Samples    []string `json:"samples"`
 	}
--- a/internal/standin/report/report.go
+++ b/internal/standin/report/report.go
@@ -53,17 +53,22 @@
 		Failed int64 `json:"failed"`
 	}
 
-	// Fairness compares the worst-served team with the median one. Shares
-	// are those of the requests inside the quota that went well. Latencies
-	// over all services depend on how much a team uses the slow ones.
+	// Fairness compares the worst-served team of a service with the median
+	// one. Latencies over all services depend on how much a team uses the
+	// slow ones.
 	Fairness struct {
-		Service     sassafrastray.ServiceName `json:"service,omitempty"`
-		Worst       sassafrastray.TeamName    `json:"worst"`
-		WorstShare  float64                   `json:"worstShare"`
-		MedianShare float64                   `json:"medianShare"`
-		Slowest     sassafrastray.TeamName    `json:"slowest"`
-		SlowestP99  time.Duration             `json:"slowestP99"`
-		MedianP99   time.Duration             `json:"medianP99"`
+		Service sassafrastray.ServiceName `json:"service,omitempty"`
+		// Share is of the requests inside the quota that went well.
+		Share Gap[float64]       `json:"share"`
+		P99   Gap[time.Duration] `json:"p99"`
+	}
+
+	// Gap is a figure of the team that it is worst for, and its median over
+	// all teams.
+	Gap[T float64 | time.Duration] struct {
+		Team   sassafrastray.TeamName `json:"team"`
+		Worst  T                      `json:"worst"`
+		Median T                      `json:"median"`
 	}
 )
 
@@ -101,22 +106,19 @@
 
 // compare finds the worst-served team at a service.
 func compare(service sassafrastray.ServiceName, teams []tally.Row) Fairness {
-	f := Fairness{Service: service, WorstShare: 1, MedianShare: 1}
 	if len(teams) == 0 {
-		return f
+		return Fairness{Service: service, Share: Gap[float64]{Worst: 1, Median: 1}}
 	}
-	teams = slices.Clone(teams)
-	slices.SortStableFunc(teams, func(a, b tally.Row) int { return cmp.Compare(a.Share(), b.Share()) })
-	f.Worst, f.WorstShare = teams[0].Team, teams[0].Share()
-	f.MedianShare = middle(teams, tally.Row.Share)
-	slices.SortStableFunc(teams, func(a, b tally.Row) int { return cmp.Compare(b.Latency.P99, a.Latency.P99) })
-	f.Slowest, f.SlowestP99 = teams[0].Team, teams[0].Latency.P99
-	f.MedianP99 = middle(teams, func(t tally.Row) time.Duration { return t.Latency.P99 })
-	return f
+	slow := func(t tally.Row) time.Duration { return -t.Latency.P99 }
+	p99 := least(teams, slow)
+	p99.Worst, p99.Median = -p99.Worst, -p99.Median
+	return Fairness{service, least(teams, tally.Row.Share), p99}
 }
 
-// middle returns the median of a figure over sorted rows.
-func middle[T float64 | time.Duration](rows []tally.Row, of func(tally.Row) T) T {
+// least finds the team whose figure is the least.
+func least[T float64 | time.Duration](rows []tally.Row, of func(tally.Row) T) Gap[T] {
+	rows = slices.Clone(rows)
+	slices.SortStableFunc(rows, func(a, b tally.Row) int { return cmp.Compare(of(a), of(b)) })
 	n := len(rows)
-	return (of(rows[(n-1)/2]) + of(rows[n/2])) / 2
+	return Gap[T]{rows[0].Team, of(rows[0]), (of(rows[(n-1)/2]) + of(rows[n/2])) / 2}
 }
--- a/internal/standin/report/report_test.go
+++ b/internal/standin/report/report_test.go
@@ -97,6 +97,13 @@
 	if err != nil || !strings.Contains(few, "fewer than 5 runs") {
 		t.Errorf("two runs: %v\n%s", err, few)
 	}
+	other := sample(t, 0)
+	other.Path = report.Direct
+	text, err = report.Compare(runs, []*report.Report{other})
+	if err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "compare", []byte(text))
 	runs[1].Case = "other"
 	if _, err := report.Spread(runs); err == nil {
 		t.Error("runs of two cases were merged")
--- a/internal/standin/report/spread.go
+++ b/internal/standin/report/spread.go
@@ -25,15 +25,8 @@
 // Spread returns a table of the median and the range of the main figures over
 // several runs of one case. It declines runs of different cases.
 func Spread(runs []*Report) (string, error) {
-	if len(runs) == 0 {
-		return "", errors.New("no runs")
-	}
-	for _, r := range runs {
-		if r.Case != runs[0].Case || r.Path != runs[0].Path || r.Length != runs[0].Length ||
-			len(r.Fairness) != len(runs[0].Fairness) {
-			return "", errors.Newf("runs differ: %s %s %s and %s %s %s",
-				runs[0].Case, runs[0].Path, runs[0].Length, r.Case, r.Path, r.Length)
-		}
+	if err := alike(runs); err != nil {
+		return "", err
 	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "case %s, path %s, %s, %d runs\n", runs[0].Case, runs[0].Path, runs[0].Length, len(runs))
@@ -43,26 +36,73 @@
 	w := tabwriter.NewWriter(&b, 0, 0, padding, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "figure\tmedian\tleast\tgreatest\t")
 	for _, f := range figures(runs[0]) {
-		var values []float64
-		for _, r := range runs {
-			values = append(values, f.of(r))
-		}
-		slices.Sort(values)
-		n := len(values)
-		median := (values[(n-1)/2] + values[n/2]) / 2
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t\n", f.name, number(median), number(values[0]), number(values[n-1]))
+		least, median, greatest := f.over(runs)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t\n", f.name, number(median), number(least), number(greatest))
 	}
 	w.Flush()
 	return b.String(), nil
 }
 
+// Compare returns a table of the medians of runs beside those of others, such
+// as runs without the system.
+func Compare(runs, others []*Report) (string, error) {
+	if err := errors.CombineErrors(alike(runs), alike(others)); err != nil {
+		return "", err
+	}
+	a, b := runs[0], others[0]
+	if a.Case != b.Case || a.Length != b.Length || len(a.Rows) != len(b.Rows) {
+		return "", errors.Newf("cases differ: %s %s and %s %s", a.Case, a.Length, b.Case, b.Length)
+	}
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "case %s, %s, medians of %d runs %s and %d runs %s\n",
+		a.Case, a.Length, len(runs), a.Path, len(others), b.Path)
+	if min(len(runs), len(others)) < EnoughRuns {
+		fmt.Fprintf(&text, "fewer than %d runs: take these figures as trials\n", EnoughRuns)
+	}
+	w := tabwriter.NewWriter(&text, 0, 0, padding, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "figure\t%s\t%s\tdifference\t\n", a.Path, b.Path)
+	for _, f := range figures(a) {
+		_, x, _ := f.over(runs)
+		_, y, _ := f.over(others)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t\n", f.name, number(x), number(y), number(x-y))
+	}
+	w.Flush()
+	return text.String(), nil
+}
+
+// alike declines runs that are not of one case.
+func alike(runs []*Report) error {
+	if len(runs) == 0 {
+		return errors.New("no runs")
+	}
+	first := runs[0]
+	for _, r := range runs {
+		if r.Case != first.Case || r.Path != first.Path || r.Length != first.Length || len(r.Rows) != len(first.Rows) {
+			return errors.Newf("runs differ: %s %s %s and %s %s %s",
+				first.Case, first.Path, first.Length, r.Case, r.Path, r.Length)
+		}
+	}
+	return nil
+}
+
+// over returns the range and the median of the figure.
+func (f figure) over(runs []*Report) (least, median, greatest float64) {
+	var values []float64
+	for _, r := range runs {
+		values = append(values, f.of(r))
+	}
+	slices.Sort(values)
+	n := len(values)
+	return values[0], (values[(n-1)/2] + values[n/2]) / 2, values[n-1]
+}
+
 // figures lists what a spread shows.
 func figures(r *Report) []figure {
 	f := []figure{
 		{"generator behind p99 ms", func(r *Report) float64 { return float(r.Lag.P99) }},
 		{"not sent", func(r *Report) float64 { return float64(r.Lag.Overloads) }},
-		{"worst share", func(r *Report) float64 { return r.Fairness[0].WorstShare }},
-		{"median share", func(r *Report) float64 { return r.Fairness[0].MedianShare }},
+		{"worst share", func(r *Report) float64 { return r.Fairness[0].Share.Worst }},
+		{"median share", func(r *Report) float64 { return r.Fairness[0].Share.Median }},
 		{"refused inside quota", func(r *Report) float64 { return float64(r.Total.InsideRefused) }},
 		{"refused", func(r *Report) float64 { return float64(sum(r.Total.Refused)) }},
 		{"failed", func(r *Report) float64 { return float64(sum(r.Total.Failed)) }},
@@ -82,7 +122,7 @@
 	}
 	for i, fair := range r.Fairness[1:] {
 		f = append(f, figure{string(fair.Service) + " slowest team p99 ms", func(r *Report) float64 {
-			return float(r.Fairness[i+1].SlowestP99)
+			return float(r.Fairness[i+1].P99.Worst)
 		}})
 	}
 	return append(f, audits()...)
--- a/internal/standin/report/text.go
+++ b/internal/standin/report/text.go
@@ -68,7 +68,7 @@
 	fmt.Fprintln(w, "service\tworst-served team\tits share\tmedian share\tslowest team\tits p99\tmedian p99\t")
 	for _, f := range r.Fairness {
 		fmt.Fprintf(w, "%s\t%s\t%.4f\t%.4f\t%s\t%s\t%s\t\n", cmp.Or(string(f.Service), "all"),
-			f.Worst, f.WorstShare, f.MedianShare, f.Slowest, ms(f.SlowestP99), ms(f.MedianP99))
+			f.Share.Team, f.Share.Worst, f.Share.Median, f.P99.Team, ms(f.P99.Worst), ms(f.P99.Median))
 	}
 	w.Flush()
 }
--- a/internal/standin/tally/tally.go
+++ b/internal/standin/tally/tally.go
@@ -29,8 +29,8 @@
 		OK     int `json:"ok"`
 		// InsideOK counts the requests inside the quota that went well, and
 		// InsideRefused those that were refused.
-		InsideOK      int `json:"insideOK"`
-		InsideRefused int `json:"insideRefused"`
+		InsideOK      int `json:"served"`
+		InsideRefused int `json:"denied"`
 		// Refused and Failed are by reason.
 		Refused   map[string]int `json:"refused"`
 		Failed    map[string]int `json:"failed"`
