Probe under low load, tell true waits, and queue in the stateful tests

Cause: a backend server that came back got no probe while others had more free slots, so it stayed out. The wait that was told to a team with a long queue left out what other teams ask for later: with a small team at eight times its rate, one wait in ten was 686 ms longer than told. And eleven of the mutations tried stayed green, because the worlds hardly ever queued.

Ruled out: sending to backend servers that are down whenever most are, like to the others: with 11 of 20 dead they would fail 110 requests a second.

Change: a probe that is due goes first; backend servers that are down are used out of turn only if most are and the others are busy. The wait of a team that queues is at least what its starts promise. Holdings count cancelled requests whose slots may be busy, and an in-flight figure older than the keeper's own memory is ignored; both were found by the longer runs and are table tests now. The worlds offer bursts and take VMs over.

--- a/internal/traffic/choice/choice_test.go
+++ b/internal/traffic/choice/choice_test.go
@@ -108,6 +108,14 @@
 	return false
 }
 
+func (f *fleet) send(c Choice) {
+	c.Sent()
+	f.sent[c.VM]++
+	if c.Region != "r0" {
+		f.link[c.Region] += bytes
+	}
+}
+
 // check judges one choice.
 func (f *fleet) check(t *rapid.T, c Choice, ok bool) {
 	local, domain, own, region := false, false, false, false
@@ -162,20 +170,18 @@
 		var open []Choice
 		t.Repeat(map[string]func(*rapid.T){
 			"pick": func(t *rapid.T) {
-				c, ok := s.Pick(Request{Service: "stock", Version: "v1", Bytes: bytes}, f.now, rng)
-				f.check(t, c, ok)
-				if !ok {
-					return
-				}
-				if c.Reason == Link {
-					crossed++
+				for range rapid.IntRange(1, 6).Draw(t, "picks") {
+					c, ok := s.Pick(Request{Service: "stock", Version: "v1", Bytes: bytes}, f.now, rng)
+					f.check(t, c, ok)
+					if !ok {
+						return
+					}
+					if c.Reason == Link {
+						crossed++
+					}
+					f.send(c)
+					open = append(open, c)
 				}
-				c.Sent()
-				f.sent[c.VM]++
-				if c.Region != "r0" {
-					f.link[c.Region] += bytes
-				}
-				open = append(open, c)
 			},
 			"done": func(t *rapid.T) {
 				if len(open) == 0 {
@@ -205,10 +211,12 @@
 
 // Between VMs that look the same, one figure does not draw all requests to one.
 func TestSpread(t *testing.T) {
-	s, now := benchSnapshot(), time.Unix(1e9, 0)
+	in, now := benchInput(), time.Unix(1e9, 0)
+	s := New(in, nil, now)
 	rng := rand.New(rand.NewPCG(1, 2))
 	count := map[sassafrastray.VMName]int{}
 	for range 60 {
+		s = New(in, s, now)
 		c, _ := s.Pick(Request{Service: "s0", Version: "v1"}, now, rng)
 		c.Sent()
 		count[c.VM]++
@@ -228,8 +236,10 @@
 	}
 }
 
-// benchSnapshot has 4 services at 11 VMs of one region.
-func benchSnapshot() *Snapshot {
+func benchSnapshot() *Snapshot { return New(benchInput(), nil, time.Unix(1e9, 0)) }
+
+// benchInput has 4 services at 11 VMs of one region.
+func benchInput() Input {
 	now := time.Unix(1e9, 0)
 	in := Input{Config: &sassafrastray.Config{}}
 	for s := range 4 {
@@ -247,7 +257,7 @@
 		in.Peers = append(in.Peers, p)
 	}
 	in.Self = in.Peers[0].Member
-	return New(in, nil, now)
+	return in
 }
 
 func BenchmarkPick(b *testing.B) {
--- a/internal/traffic/choice/model_test.go
+++ b/internal/traffic/choice/model_test.go
@@ -50,6 +50,8 @@
 		step             int
 		waits            [2]time.Duration
 		patience         time.Duration
+		told             time.Duration // wait that the keeper told
+		queued           time.Time
 		server, keeperVM int
 	}
 
@@ -102,6 +104,7 @@
 		busy     float64 // slot seconds
 		lastBusy time.Time
 		running  int
+		waits    []time.Duration // in the queue, each less what was told
 	}
 )
 
@@ -473,12 +476,17 @@
 	case keeper.Refused:
 		p.refused(r, o.Wait)
 	case keeper.Queued:
+		r.told, r.queued = o.Wait, p.m.now
 	}
 }
 
 func (p *kept) start(starts []keeper.Start) {
 	for _, s := range slices.Clone(starts) {
-		p.dispatch(p.waiting[s.ID], s.Backend)
+		r := p.waiting[s.ID]
+		if p.m.warm() {
+			p.m.result.waits = append(p.m.result.waits, p.m.now.Sub(r.queued)-r.told)
+		}
+		p.dispatch(r, s.Backend)
 	}
 }
 
@@ -620,6 +628,9 @@
 				percent(r.served(c.greedy)))
 		}
 		c.check(b, results["keeper"], results["ideal"])
+		ws := results["keeper"].waits
+		fmt.Fprintf(&table, "  wait less what was told, ms: p10 %d, p50 %d, p90 %d, of %d\n", quantile(ws, 0.1).Milliseconds(),
+			quantile(ws, 0.5).Milliseconds(), quantile(ws, 0.9).Milliseconds(), len(ws))
 	}
 	fmt.Println(table.String())
 }
--- a/internal/traffic/keeper/backend.go
+++ b/internal/traffic/keeper/backend.go
@@ -99,24 +99,23 @@
 	return b.kept && !b.gone && !b.leaving && b.drained.IsZero()
 }
 
+// busy is how many slots are or may be in use by this VM's requests and those
+// of an earlier keeper.
+func (b *backend) busy() int { return b.used + len(b.handover) + len(b.linger) }
+
 // free returns how many requests it may receive now. One that is down takes
-// single requests, more often if most of its pool is down.
-func (b *backend) free(panicking bool, now time.Time) int {
+// single requests with pauses between them.
+func (b *backend) free(now time.Time) int {
 	if !b.open() || now.Before(b.pause) {
 		return 0
 	}
-	busy := b.used + len(b.handover) + len(b.linger)
 	if b.down {
-		at := b.probeAt
-		if panicking && b.panicAt.Before(at) {
-			at = b.panicAt
-		}
-		if now.Before(at) {
+		if now.Before(b.probeAt) {
 			return 0
 		}
-		return min(1, b.slots) - busy
+		return min(1, b.slots) - b.busy()
 	}
-	return b.capacity() - busy
+	return b.capacity() - b.busy()
 }
 
 // occupy counts a request that is sent to the backend server.
--- a/internal/traffic/keeper/bench_test.go
+++ b/internal/traffic/keeper/bench_test.go
@@ -9,12 +9,12 @@
 	"sassafrastray"
 )
 
-// benchKeeper keeps 4 services of 20 backend servers with 4 slots.
-func benchKeeper(now time.Time) *Keeper {
+// benchKeeper keeps services of 20 backend servers with 4 slots.
+func benchKeeper(services int, now time.Time) *Keeper {
 	cfg := &sassafrastray.Config{Fleet: sassafrastray.Fleet{
 		Domains: []sassafrastray.FailureDomain{{Name: "n1", Region: "north"}},
 	}}
-	for s := range 4 {
+	for s := range services {
 		svc := sassafrastray.Service{Name: sassafrastray.ServiceName(fmt.Sprint("s", s))}
 		for i := range 20 {
 			svc.Backends = append(svc.Backends, sassafrastray.BackendServer{
@@ -36,7 +36,7 @@
 	for _, busy := range []int{0, 60, 80, 140} {
 		b.Run(fmt.Sprint("busy ", busy), func(b *testing.B) {
 			now := time.Unix(1e9, 0)
-			k := benchKeeper(now)
+			k := benchKeeper(4, now)
 			id, done := uint64(0), uint64(0)
 			offer := func() {
 				id++
@@ -61,7 +61,7 @@
 
 func BenchmarkTick(b *testing.B) {
 	now := time.Unix(1e9, 0)
-	k := benchKeeper(now)
+	k := benchKeeper(4, now)
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(10 * time.Millisecond)
--- a/internal/traffic/keeper/dispatch.go
+++ b/internal/traffic/keeper/dispatch.go
@@ -51,7 +51,7 @@
 func (k *Keeper) enqueue(p *pool, r Request, now time.Time) Outcome {
 	capacity := k.capacity(p)
 	t := p.team(r.Team, r.Weight)
-	wait := p.wait(p.ahead(t), capacity)
+	wait := p.waitOf(t, capacity)
 	busy := Outcome{Kind: Refused, Reason: sassafrastray.ReasonBusy, Wait: wait}
 	if capacity == 0 || t.queued >= k.opt.TeamQueue {
 		return busy
@@ -141,6 +141,7 @@
 		}
 		p.charge(it.team)
 		p.remove(it)
+		it.team.started(now)
 		delete(k.queued, it.id)
 		k.dispatch(it.id, p, b, it.route, now)
 		k.starts = append(k.starts, Start{ID: it.id, Backend: b.name})
--- a/internal/traffic/keeper/health.go
+++ b/internal/traffic/keeper/health.go
@@ -96,7 +96,9 @@
 	if r.Slots.Known {
 		ceiling = min(ceiling, r.Slots.Value)
 	}
-	if r.InFlight.Known {
+	// An older figure can't be told from what this VM had in flight then.
+	recent := r.At.IsZero() || now.Sub(r.At) <= peakWindow
+	if r.InFlight.Known && recent {
 		b.turnPeak(now)
 		others := r.InFlight.Value - max(b.peak[0], b.peak[1])
 		ceiling = min(ceiling, b.slots-max(0, others))
--- a/internal/traffic/keeper/keeper_test.go
+++ b/internal/traffic/keeper/keeper_test.go
@@ -21,10 +21,15 @@
 		}
 	}
 	as := map[string]func(*rapid.T){
-		"offer":  func(*rapid.T) { w.offer() },
-		"offer2": func(*rapid.T) { w.offer() },
-		"finish": finish(OK),
-		"report": func(*rapid.T) { w.report() },
+		"burst":   func(*rapid.T) { w.burst() },
+		"burst2":  func(*rapid.T) { w.burst() },
+		"finish":  finish(OK),
+		"finish2": finish(OK),
+		"report": func(*rapid.T) {
+			for _, s := range w.servers {
+				w.report(s)
+			}
+		},
 		"advance": func(t *rapid.T) {
 			w.advance(time.Duration(rapid.SampledFrom([]int{1, 10, 60, 250}).Draw(t, "ms")) * time.Millisecond)
 		},
@@ -34,9 +39,9 @@
 				w.start(c.vm.keeper.Cancel(c.ID, w.now))
 			}
 		},
-		"late": func(*rapid.T) {
+		"late": func(t *rapid.T) {
 			// Time passes without a tick, then a slot becomes free.
-			w.now = w.now.Add(200 * time.Millisecond)
+			w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{1, 50, 200}).Draw(t, "ms")) * time.Millisecond)
 			if c := w.one("running"); c != nil {
 				w.end(c, OK)
 			}
@@ -46,6 +51,7 @@
 		return as
 	}
 	as["views"] = func(*rapid.T) { w.views() }
+	as["takeover"] = func(*rapid.T) { w.takeover() }
 	as["cancel"] = finish(Cancelled)
 	if w.mode == agree {
 		return as
@@ -82,7 +88,7 @@
 	v := rapid.SampledFrom(w.vms).Draw(w.t, "configured")
 	cfg := *w.config
 	cfg.Fleet.Regions = slices.Clone(cfg.Fleet.Regions)
-	cfg.Fleet.Regions[0].Slots = rapid.SampledFrom([]int{0, 5, 9}).Draw(w.t, "region")
+	cfg.Fleet.Regions[0].Slots = rapid.SampledFrom([]int{0, 4, 7}).Draw(w.t, "region")
 	cfg.Services = slices.Clone(cfg.Services)
 	s := &cfg.Services[rapid.IntRange(0, 1).Draw(w.t, "service")]
 	s.Backends = slices.Clone(s.Backends)
--- a/internal/traffic/keeper/load.go
+++ b/internal/traffic/keeper/load.go
@@ -100,7 +100,7 @@
 	var teams []TeamLoad
 	for _, t := range p.order {
 		if t.queued > 0 {
-			teams = append(teams, TeamLoad{Team: t.name, Wait: p.wait(p.ahead(t), capacity)})
+			teams = append(teams, TeamLoad{Team: t.name, Wait: p.waitOf(t, capacity)})
 		}
 	}
 	if len(teams) == 0 && used < slots && k.share.free(1) > 0 {
--- a/internal/traffic/keeper/owner.go
+++ b/internal/traffic/keeper/owner.go
@@ -117,7 +117,8 @@
 	}
 }
 
-// Holding is what an earlier keeper still has in flight at a backend server.
+// Holding is what an earlier keeper still has in flight at a backend server,
+// with the slots of cancelled requests that may still be busy.
 type Holding struct {
 	Backend sassafrastray.BackendName `json:"backend"`
 	Used    int                       `json:"used"`
@@ -131,7 +132,7 @@
 	for _, b := range k.names {
 		recent := !b.lost.IsZero() && now.Before(b.lost.Add(2*k.opt.Handover))
 		if !b.kept && (b.used > 0 || recent) {
-			hs = append(hs, Holding{Backend: b.name, Used: b.used})
+			hs = append(hs, Holding{Backend: b.name, Used: b.used + len(b.linger)})
 		}
 	}
 	return hs
--- a/internal/traffic/keeper/pool.go
+++ b/internal/traffic/keeper/pool.go
@@ -15,6 +15,8 @@
 	// standingWaits service times. A longer queue serves no more requests.
 	standing      = time.Second
 	standingWaits = 4
+	// measuredStarts is how many starts tell a team's rate.
+	measuredStarts = 8
 )
 
 type (
@@ -132,33 +134,52 @@
 	return n
 }
 
-// pick returns the backend server with the most free capacity that is not
-// excluded, or nil. Those that are alike take turns at random.
+// pick returns the backend server with the greatest part of its capacity free
+// that is not excluded, or nil. Those that are alike take turns at random. One
+// that is due for a probe goes first, or it would never get one under low load.
 func (k *Keeper) pick(p *pool, exclude []sassafrastray.BackendName, now time.Time) *backend {
 	if k.share.free(1) <= 0 {
 		return nil
 	}
 	var (
-		best      *backend
-		most, eq  int
-		panicking = p.panicking()
+		best         *backend
+		most, of, eq int
 	)
 	for _, b := range p.backends {
-		n := b.free(panicking, now)
-		if n <= 0 || n < most || excluded(b.name, exclude) {
+		n := b.free(now)
+		if n <= 0 || excluded(b.name, exclude) {
 			continue
 		}
-		if n > most {
-			best, most, eq = b, n, 1
-			continue
+		if b.down {
+			return b
 		}
-		if eq++; k.rng.IntN(eq) == 0 {
-			best = b
+		c := b.capacity()
+		switch better := n*of - most*c; {
+		case best == nil || better > 0:
+			best, most, of, eq = b, n, c, 1
+		case better == 0:
+			if eq++; k.rng.IntN(eq) == 0 {
+				best = b
+			}
 		}
 	}
+	if best == nil && p.panicking() {
+		return p.desperate(exclude, now)
+	}
 	return best
 }
 
+// desperate returns a backend server that is down and may take one request out
+// of turn, or nil. It is for when most look bad and the others are busy.
+func (p *pool) desperate(exclude []sassafrastray.BackendName, now time.Time) *backend {
+	for _, b := range p.backends {
+		if b.down && b.open() && !now.Before(b.pause) && !now.Before(b.panicAt) && b.busy() == 0 && !excluded(b.name, exclude) {
+			return b
+		}
+	}
+	return nil
+}
+
 func excluded(name sassafrastray.BackendName, exclude []sassafrastray.BackendName) bool {
 	for _, e := range exclude {
 		if e == name {
--- a/internal/traffic/keeper/queue.go
+++ b/internal/traffic/keeper/queue.go
@@ -30,7 +30,10 @@
 		finish     float64 // tag where the last started request ends
 		head, tail *item
 		queued     int
-		passed     bool // nothing that waits can use a free slot
+		every      mean      // time between starts while some wait
+		starts     int       // in that mean
+		last       time.Time // last such start, zero if none waited after it
+		passed     bool      // nothing that waits can use a free slot
 	}
 )
 
@@ -143,6 +146,31 @@
 	return n
 }
 
+// started takes the start of a request of t that waited. While others of the
+// team wait, the time between starts tells its true rate, which depends on how
+// much the other teams ask for.
+func (t *team) started(now time.Time) {
+	if t.queued == 0 {
+		t.every, t.starts, t.last = 0, 0, time.Time{}
+		return
+	}
+	if !t.last.IsZero() {
+		t.every = t.every.add(now.Sub(t.last))
+		t.starts++
+	}
+	t.last = now
+}
+
+// waitOf returns the expected time in the queue of a new request of t, 0 if no
+// service time is known.
+func (p *pool) waitOf(t *team, capacity int) time.Duration {
+	wait := p.wait(p.ahead(t), capacity)
+	if t.starts >= measuredStarts {
+		wait = max(wait, time.Duration(t.queued+1)*time.Duration(t.every))
+	}
+	return wait
+}
+
 // wait returns the expected time in the queue behind ahead requests, 0 if no
 // service time is known.
 func (p *pool) wait(ahead, capacity int) time.Duration {
--- a/internal/traffic/keeper/world_test.go
+++ b/internal/traffic/keeper/world_test.go
@@ -65,12 +65,12 @@
 func newWorld(t *rapid.T, mode string) *world {
 	w := &world{t: t, mode: mode, now: time.Unix(1e9, 0), byID: map[uint64]*call{}}
 	cfg := &sassafrastray.Config{Fleet: sassafrastray.Fleet{
-		Regions: []sassafrastray.Region{{Name: "north", Slots: rapid.SampledFrom([]int{0, 5, 9}).Draw(t, "region")}},
+		Regions: []sassafrastray.Region{{Name: "north", Slots: rapid.SampledFrom([]int{0, 0, 4, 7}).Draw(t, "region")}},
 		Domains: []sassafrastray.FailureDomain{{Name: "n1", Region: "north"}, {Name: "n2", Region: "north"}},
 	}}
 	for i, s := range []sassafrastray.ServiceName{"stock", "photo"} {
 		svc := sassafrastray.Service{Name: s}
-		for j := range 3 {
+		for j := range 4 {
 			b := sassafrastray.BackendServer{
 				Name: sassafrastray.BackendName(fmt.Sprint(s, j)), Version: "v1",
 				Domain: cfg.Fleet.Domains[j%2].Name, Slots: 1 + (i+j)%4,
@@ -169,6 +169,11 @@
 }
 
 func (w *world) start(starts []Start) {
+	// What the first one's answer tells can't change the others, which were
+	// decided with it.
+	for _, s := range starts {
+		w.known(w.byID[s.ID].vm, s.Backend)
+	}
 	for _, s := range slices.Clone(starts) {
 		c := w.byID[s.ID]
 		w.require(c.state == "queued", "request %d started while %s", s.ID, c.state)
@@ -176,12 +181,16 @@
 	}
 }
 
+// known fails if the VM has heard that the server drains.
+func (w *world) known(v *vm, name sassafrastray.BackendName) {
+	w.require(!w.server(name).drainedFor[v.VM], "%s sends to %s though it knows that it drains", v.VM, name)
+}
+
 // run delivers a dispatched request to its server and checks the decision.
 func (w *world) run(c *call, name sassafrastray.BackendName) {
 	s := w.server(name)
 	w.require(w.now.Before(c.Deadline), "request %d started after its deadline", c.ID)
 	w.require(!slices.Contains(c.Exclude, name), "request %d started at an excluded server", c.ID)
-	w.require(!s.drainedFor[c.vm.VM], "%s sends to %s though it knows that it drains", c.vm.VM, name)
 	listed := slices.ContainsFunc(c.vm.config.Service(c.Service).Backends, func(b sassafrastray.BackendServer) bool {
 		return b.Name == name && !b.Leaving
 	})
@@ -225,23 +234,32 @@
 	w.start(c.vm.keeper.Done(c.ID, End{Kind: kind, Drain: drain}, w.now))
 }
 
-func (w *world) offer() {
+// burst offers some requests for one service to one VM.
+func (w *world) burst() {
 	v := rapid.SampledFrom(w.vms).Draw(w.t, "vm")
+	s := rapid.SampledFrom([]sassafrastray.ServiceName{"stock", "photo"}).Draw(w.t, "service")
+	for range rapid.IntRange(1, 8).Draw(w.t, "burst") {
+		w.offer(v, s)
+	}
+}
+
+func (w *world) offer(v *vm, s sassafrastray.ServiceName) {
 	c := &call{vm: v, Request: Request{
-		ID: uint64(len(w.byID) + 1), Version: "v1",
-		Service:  rapid.SampledFrom([]sassafrastray.ServiceName{"stock", "photo"}).Draw(w.t, "service"),
+		ID: uint64(len(w.byID) + 1), Version: "v1", Service: s,
 		Team:     rapid.SampledFrom([]sassafrastray.TeamName{"", "nan", "isan"}).Draw(w.t, "team"),
 		Weight:   rapid.IntRange(0, 3).Draw(w.t, "weight"),
 		Deadline: w.now.Add(time.Duration(rapid.IntRange(-1, 2000).Draw(w.t, "timeout")) * time.Millisecond),
 	}}
 	if rapid.IntRange(0, 3).Draw(w.t, "excludes") == 0 {
-		c.Exclude = []sassafrastray.BackendName{rapid.SampledFrom(w.servers).Draw(w.t, "excluded").name}
+		servers := w.config.Service(s).Backends
+		c.Exclude = []sassafrastray.BackendName{rapid.SampledFrom(servers).Draw(w.t, "excluded").Name}
 	}
 	w.byID[c.ID] = c
 	w.calls = append(w.calls, c)
 	o := v.keeper.Offer(c.Request, w.now)
 	switch o.Kind {
 	case Dispatch:
+		w.known(v, o.Backend)
 		w.run(c, o.Backend)
 	case Queued:
 		c.state = "queued"
@@ -266,8 +284,7 @@
 
 // report lets each VM hear of one server. Only in the wild do figures lie;
 // figures may be missing, and reports come late, everywhere.
-func (w *world) report() {
-	s := rapid.SampledFrom(w.servers).Draw(w.t, "reporter")
+func (w *world) report(s *server) {
 	r := Report{At: w.now, State: Ready, InFlight: Known(s.running), Slots: Known(s.slots)}
 	if s.draining {
 		r.State = Draining
@@ -293,22 +310,63 @@
 
 // views gives some VMs another view, in agreement or not.
 func (w *world) views() {
-	var all, live []Member
+	var live []Member
 	for _, v := range w.vms {
-		all = append(all, v.Member)
 		if w.draw("live") {
 			live = append(live, v.Member)
 		}
 	}
-	if w.draw("whole") {
-		live = all
+	if len(live) == 0 || w.draw("whole") {
+		live = w.all()
 	}
+	w.view(live)
+	w.hear()
+}
+
+func (w *world) view(live []Member) {
 	one := rapid.SampledFrom(w.vms).Draw(w.t, "viewer")
 	for _, v := range w.vms {
 		if w.mode == agree || v == one {
 			v.keeper.View(live, w.now)
 		}
 	}
+}
+
+func (w *world) all() []Member {
+	var all []Member
+	for _, v := range w.vms {
+		all = append(all, v.Member)
+	}
+	return all
+}
+
+// takeover takes a VM that is busy out of the views, and lets another that is
+// busy too, and has heard reports, have its backend servers.
+func (w *world) takeover() {
+	w.view(w.all())
+	for range 50 {
+		w.advance(50 * time.Millisecond)
+	}
+	s := rapid.SampledFrom([]sassafrastray.ServiceName{"stock", "photo"}).Draw(w.t, "service")
+	from := rapid.SampledFrom(w.vms).Draw(w.t, "from")
+	for range 6 {
+		w.offer(from, s)
+	}
+	w.view(slices.DeleteFunc(w.all(), func(m Member) bool { return m.VM == from.VM }))
+	w.advance(time.Millisecond)
+	w.hear()
+	for _, s := range w.servers {
+		w.report(s)
+	}
+	for _, v := range w.vms {
+		for range 6 {
+			w.offer(v, s)
+		}
+	}
+}
+
+// hear lets some VMs hear what others still have in flight.
+func (w *world) hear() {
 	for _, v := range w.vms {
 		for _, o := range w.vms {
 			if hs := v.keeper.Holdings(w.now); o != v && w.draw("heard") {
--- a/internal/traffic/retry/retry_test.go
+++ b/internal/traffic/retry/retry_test.go
@@ -20,9 +20,9 @@
 		p := New(rand.New(rand.NewPCG(1, 2)), opt)
 		services := []sassafrastray.ServiceName{"stock", "photo"}
 		requests, retries := map[sassafrastray.ServiceName]int{}, map[sassafrastray.ServiceName]int{}
-		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+		for range 300 {
 			s := rapid.SampledFrom(services).Draw(t, "service")
-			if rapid.Bool().Draw(t, "request") {
+			if rapid.IntRange(0, 3).Draw(t, "request") == 0 {
 				p.Request(s)
 				requests[s]++
 				continue
@@ -33,7 +33,7 @@
 				Idempotent: rapid.Bool().Draw(t, "idempotent"),
 				Result:     rapid.SampledFrom([]sassafrastray.Result{sassafrastray.NotRun, sassafrastray.Ran, sassafrastray.Unknown, ""}).Draw(t, "result"),
 				Reason:     rapid.SampledFrom([]sassafrastray.Reason{sassafrastray.ReasonBroken, sassafrastray.ReasonShed, sassafrastray.ReasonQuota, sassafrastray.ReasonLeaving}).Draw(t, "reason"),
-				Deadline:   now.Add(time.Duration(rapid.IntRange(-10, 200).Draw(t, "left")) * time.Millisecond),
+				Deadline:   now.Add(time.Duration(rapid.IntRange(-10, 2000).Draw(t, "left")) * time.Millisecond),
 				Expected:   50 * time.Millisecond,
 				Backend:    rapid.SampledFrom([]sassafrastray.BackendName{"", "b1", "b2"}).Draw(t, "backend"),
 				Exclude:    []sassafrastray.BackendName{"b1"},
