Judge versions by strata, over minutes, and on all routes together

Cause: trials of the first judge showed four faults. At 1% of 400 requests a second a version that failed 10% of requests was not found in 5 min, because evidence older than 60 s was dropped. A version that failed everything took 10 s and 38 requests, because each route waited for its own proof. Counts of a quiet series were lost when its windows left the ring. With the whole of the traffic on the new version, trouble that strikes both versions looked like its fault.

Ruled out: longer windows, which find a version that turns bad late more slowly; an absolute ceiling alone for the time without an old version, since a dependency's outage passes any ceiling.

Change: windows that leave the ring are kept as minutes; every VM is compared within itself; all routes are also tested together; without an old version the verdict is suspect, and the VM gives the old version half of the traffic to compare. Digests are merged without counting a window twice.

Conclusion: the rate of false alarms over many moves is measured next.

--- a/internal/rollout/evidence/digest.go
+++ b/internal/rollout/evidence/digest.go
@@ -41,7 +41,7 @@
 		Failed uint32 `json:"failed,omitempty"`
 		// First is the lowest bucket of Latency.
 		First   int      `json:"first,omitempty"`
-		Latency []uint32 `json:"latency,omitempty"`
+		Latency []uint16 `json:"latency,omitempty"`
 	}
 )
 
--- /dev/null
+++ b/internal/rollout/evidence/digest_test.go
@@ -0,0 +1,107 @@
+package evidence
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrastray"
+)
+
+// counted returns how many requests a ledger knows of a peer's last minute.
+func counted(l *Ledger, vm sassafrastray.VMName, now time.Time) int {
+	p := l.peers[vm]
+	if p == nil {
+		return 0
+	}
+	n, idx := 0, l.index(now)
+	for _, s := range p.series {
+		s.sweep(idx - windows)
+		for i := range s.ring {
+			n += int(s.ring[i].ok + s.ring[i].failed)
+		}
+		for i := range s.minutes {
+			n += int(s.minutes[i].ok + s.minutes[i].failed)
+		}
+	}
+	return n
+}
+
+// TestMerge sends a peer's digests twice, late, in any order and not at all.
+// No request may count twice; and none is missing that a digest in time told.
+func TestMerge(t *testing.T) {
+	tr := traffic{backends: 3, routes: 2}
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		a, b := tr.ledgers(2)[0], New("b", 1, Options{})
+		b.Configure([]sassafrastray.Service{tr.service()}, epoch)
+		skew := time.Duration(rapid.IntRange(0, 4000).Draw(t, "skew")) * time.Millisecond
+		prompt := rapid.Bool().Draw(t, "prompt")
+		sent, now := 0, epoch.Add(skew)
+		var late []Digest
+		for range rapid.IntRange(1, 200).Draw(t, "ticks") {
+			now = now.Add(time.Duration(rapid.IntRange(100, 2500).Draw(t, "step")) * time.Millisecond)
+			for range rng.IntN(5) {
+				v := []sassafrastray.VersionName{"v1", "v2"}[rng.IntN(2)]
+				a.Add("stock", v, routeName(rng.IntN(2)), backendName(rng.IntN(3)), Sample{OK: rng.IntN(2) == 0, Latency: tick}, now)
+				sent++
+			}
+			d := a.Digest(now)
+			late = append(late, d)
+			if prompt || rng.IntN(3) > 0 {
+				b.Merge(d, now)
+			}
+			if rng.IntN(2) == 0 {
+				b.Merge(late[rng.IntN(len(late))], now)
+			}
+			got := counted(b, a.self, now)
+			if got > sent {
+				t.Fatalf("%d requests counted, %d sent", got, sent)
+			}
+			if prompt && got != sent && now.Sub(epoch) < minutes*windows*Window {
+				t.Fatalf("%d requests counted, %d sent and told", got, sent)
+			}
+		}
+	})
+}
+
+// TestDigestSize checks the bound on a digest, and its form.
+func TestDigestSize(t *testing.T) {
+	tr := traffic{rng: rand.New(rand.NewPCG(1, 2)), perTick: 40, share: 0.1, backends: 40, routes: 8, old: pareto, new: pareto}
+	ls := tr.ledgers(1)
+	for tk := range 100 {
+		tr.second(ls, tk)
+	}
+	d := ls[0].Digest(epoch.Add(10 * time.Second))
+	text, err := json.Marshal(d)
+	if err != nil || len(d.Rows) > maxRows {
+		t.Fatal(err, len(d.Rows))
+	}
+	t.Log(len(d.Rows), "rows", len(text), "bytes")
+	var back Digest
+	if err := json.Unmarshal(text, &back); err != nil || fmt.Sprint(back) != fmt.Sprint(d) {
+		t.Fatal(err, "the digest changed on its way")
+	}
+}
+
+// TestAge checks that the counts of a peer that falls silent age out.
+func TestAge(t *testing.T) {
+	tr := traffic{rng: rand.New(rand.NewPCG(1, 2)), perTick: 40, share: 0.5, backends: 4, routes: 1, old: pareto, new: pareto}
+	ls := tr.ledgers(2)
+	for tk := range 100 {
+		tr.second(ls, tk)
+	}
+	if v := ls[0].Judge("stock", "v1", "v2", epoch.Add(11*time.Second)); v.Kind != Good {
+		t.Fatal(v)
+	}
+	if v := ls[0].Judge("stock", "v1", "v2", epoch.Add(30*time.Second)); v.Kind == Good {
+		t.Fatal("good without recent samples", v)
+	}
+	if v := ls[0].Judge("stock", "v1", "v2", epoch.Add(time.Hour)); v.Samples != 0 {
+		t.Fatal("old samples count", v)
+	}
+}
--- a/internal/rollout/evidence/evidence.go
+++ b/internal/rollout/evidence/evidence.go
@@ -17,8 +17,11 @@
 	Window = 2 * time.Second
 	// windows is how many windows a ledger remembers.
 	windows = 30
+	// minutes is how many minutes it remembers beyond those windows, in less
+	// detail. A minute is as long as all windows together.
+	minutes = 20
 	// maxPeers bounds the peers whose digests are kept.
-	maxPeers = 64
+	maxPeers = 16
 )
 
 type (
@@ -238,7 +241,7 @@
 	if l.epoch.IsZero() {
 		l.epoch = now
 	}
-	return int64(now.Sub(l.epoch)/Window) + 2*windows
+	return int64(now.Sub(l.epoch)/Window) + 2*windows*minutes
 }
 
 // at returns the series of a key, made if need be.
--- a/internal/rollout/evidence/evidence_test.go
+++ b/internal/rollout/evidence/evidence_test.go
@@ -21,6 +21,9 @@
 		routes   int
 		old      behaviour
 		new      behaviour
+		// uneven traffic fails more on the first VM, which sends a larger
+		// share to the new version.
+		uneven bool
 	}
 
 	// behaviour is how a version answers at an age, in ticks.
@@ -60,43 +63,67 @@
 	return sassafrastray.BackendName(fmt.Sprint("b", i))
 }
 
-// run plays traffic for ticks over the ledgers of several VMs that exchange
-// digests every second, and returns the first verdict that is bad with the
-// tick and the new version's requests up to it.
-func (tr traffic) run(vms, ticks int) (at int, requests int, last Verdict) {
+// ledgers returns the ledgers of several VMs.
+func (tr traffic) ledgers(vms int) []*Ledger {
 	ls := make([]*Ledger, vms)
 	for i := range ls {
 		ls[i] = New(sassafrastray.VMName(fmt.Sprint("vm", i)), 1, Options{})
 		ls[i].Configure([]sassafrastray.Service{tr.service()}, epoch)
 	}
-	for t := range ticks {
-		now := epoch.Add(time.Duration(t) * tick)
-		for range tr.perTick {
-			requests += tr.request(ls[tr.rng.IntN(vms)], t, now)
+	return ls
+}
+
+// second plays one tick, and tells whether a second ends with it. Then the
+// ledgers have exchanged digests.
+func (tr traffic) second(ls []*Ledger, t int) (requests int, ends bool) {
+	now := epoch.Add(time.Duration(t) * tick)
+	for range tr.perTick {
+		requests += tr.request(ls, t, now)
+	}
+	if t%10 != 9 {
+		return requests, false
+	}
+	for _, a := range ls {
+		d := a.Digest(now)
+		for _, b := range ls {
+			b.Merge(d, now)
 		}
-		if t%10 != 9 {
+	}
+	return requests, true
+}
+
+// run plays traffic for ticks over the ledgers of several VMs and returns the
+// first verdict that is bad, with the tick and the new version's requests.
+func (tr traffic) run(vms, ticks int) (at int, requests int, last Verdict) {
+	ls := tr.ledgers(vms)
+	for t := range ticks {
+		n, ends := tr.second(ls, t)
+		requests += n
+		if !ends {
 			continue
 		}
-		for _, a := range ls {
-			d := a.Digest(now)
-			for _, b := range ls {
-				b.Merge(d, now)
-			}
-		}
-		if last = ls[0].Judge("stock", "v1", "v2", now); last.Kind == Bad {
+		if last = ls[0].Judge("stock", "v1", "v2", epoch.Add(time.Duration(t)*tick)); last.Kind == Bad {
 			return t, requests, last
 		}
 	}
 	return -1, requests, last
 }
 
-func (tr traffic) request(l *Ledger, t int, now time.Time) int {
-	r, b := tr.rng.IntN(tr.routes), tr.rng.IntN(tr.backends)
-	if tr.rng.Float64() < tr.share {
-		l.Add("stock", "v2", routeName(r), backendName(b), tr.new(t, r, b, tr.rng), now)
+func (tr traffic) request(ls []*Ledger, t int, now time.Time) int {
+	r, b, vm := tr.rng.IntN(tr.routes), tr.rng.IntN(tr.backends), tr.rng.IntN(len(ls))
+	share, broken := tr.share, tr.uneven && vm == 0 && tr.rng.Float64() < 0.2
+	if tr.uneven && vm != 0 {
+		share /= 5
+	}
+	if tr.rng.Float64() < share {
+		s := tr.new(t, r, b, tr.rng)
+		s.OK = s.OK && !broken
+		ls[vm].Add("stock", "v2", routeName(r), backendName(b), s, now)
 		return 1
 	}
-	l.Add("stock", "v1", routeName(r), "old", tr.old(t, r, b, tr.rng), now)
+	s := tr.old(t, r, b, tr.rng)
+	s.OK = s.OK && !broken
+	ls[vm].Add("stock", "v1", routeName(r), "old", s, now)
 	return 0
 }
 
@@ -117,7 +144,7 @@
 			return steady(tk, r, b, rng)
 		}, Bad},
 		{"fails later", func(tk, r, b int, rng *rand.Rand) Sample {
-			if tk > 800 {
+			if tk > 600 {
 				return plain(0.5, 20, 1)(tk, r, b, rng)
 			}
 			return steady(tk, r, b, rng)
@@ -144,7 +171,7 @@
 				rng: rand.New(rand.NewPCG(1, 2)), perTick: 40, share: 0.1, backends: 8, routes: 4,
 				old: steady, new: tt.new,
 			}
-			at, n, v := tr.run(3, 1200)
+			at, n, v := tr.run(3, 900)
 			t.Log(at, n, v)
 			if v.Kind != tt.want {
 				t.Fatalf("verdict %+v, want %s", v, tt.want)
@@ -152,3 +179,27 @@
 		})
 	}
 }
+
+func BenchmarkAdd(b *testing.B) {
+	tr := traffic{rng: rand.New(rand.NewPCG(1, 2)), backends: 8, routes: 4}
+	l := New("vm0", 1, Options{})
+	l.Configure([]sassafrastray.Service{tr.service()}, epoch)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Add("stock", "v2", "r1", "b3", Sample{OK: true, Latency: time.Millisecond}, epoch)
+	}
+}
+
+func BenchmarkJudge(b *testing.B) {
+	steady := plain(0.02, 20, 1)
+	tr := traffic{rng: rand.New(rand.NewPCG(1, 2)), perTick: 40, share: 0.1, backends: 16, routes: 4, old: steady, new: steady}
+	ls := tr.ledgers(11)
+	for t := range 600 {
+		tr.second(ls, t)
+	}
+	now := epoch.Add(time.Minute)
+	b.ReportAllocs()
+	for b.Loop() {
+		ls[0].Judge("stock", "v1", "v2", now)
+	}
+}
--- a/internal/rollout/evidence/judge.go
+++ b/internal/rollout/evidence/judge.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"sassafrastray"
@@ -20,12 +18,13 @@
 	// Bad means that a route fails or is slow more often than on the old
 	// version.
 	Bad Kind = "bad"
+	// Suspect means that a route fails or is slow very often, while the old
+	// version receives no requests, so that it may be no better. Giving the
+	// old version a part of the requests tells.
+	Suspect Kind = "suspect"
 )
 
 const (
-	// fewServers is the number of the new version's backend servers below
-	// which one of them can't be told from the version.
-	fewServers = 3
 	// suspicion is the score from which a version is not called good.
 	suspicion = 3
 	// busy is the least part of a service's requests, as a divisor, that
@@ -55,6 +54,11 @@
 	}
 )
 
+// worse tells whether a route's verdict goes before another's.
+func (k Kind) worse(o Kind) bool {
+	return k == Suspect && o != Suspect || k == Unknown && o == Good
+}
+
 // Judge compares the versions from and to of a service.
 func (l *Ledger) Judge(service sassafrastray.ServiceName, from, to sassafrastray.VersionName, now time.Time) Verdict {
 	w := l.moves[service]
@@ -63,22 +67,28 @@
 	}
 	idx := l.index(now)
 	views := l.views(service, w, idx)
-	worst := Verdict{Kind: Good, Reason: "no worse than the old version", Samples: math.MaxInt}
-	limit := l.limit(len(w.routes))
-	for _, name := range slices.Sorted(maps.Keys(views)) {
-		v := l.judgeRoute(w, views[name], limit, idx)
-		v.Route = name
-		if v.Kind == Bad {
-			return v
+	limit := l.limit(len(w.routes) + 1)
+	var all scope
+	for _, v := range views {
+		v.learn()
+		l.excuse(w, v, idx)
+		if v.total > 0 {
+			all = append(all, v)
 		}
-		if v.Samples < 0 {
-			continue
+	}
+	worst := l.judgeAll(w, all, limit)
+	for _, v := range all {
+		next := l.judgeRoute(w, v, limit, idx)
+		if next.Kind == Bad {
+			return next
 		}
-		if v.Kind == Unknown && worst.Kind != Unknown {
-			v.Samples = min(v.Samples, worst.Samples)
-			worst = v
+		if v.busy {
+			least := min(v.samples, worst.Samples)
+			if next.Kind.worse(worst.Kind) {
+				worst = next
+			}
+			worst.Samples = least
 		}
-		worst.Samples = min(worst.Samples, v.Samples)
 	}
 	if worst.Samples == math.MaxInt {
 		return Verdict{Kind: Unknown, Reason: "no requests"}
@@ -86,46 +96,55 @@
 	return worst
 }
 
-// limit is the score at which a route is bad. Each of the two tests of each
-// route may raise a false alarm in any window, so all of them share Alarms.
-func (l *Ledger) limit(routes int) float64 {
-	tests := 2 * max(routes, 1) * l.opt.Looks
+// limit is the score at which a version is bad. Each of the two tests of each
+// scope may raise a false alarm in any window, so all of them share Alarms.
+func (l *Ledger) limit(scopes int) float64 {
+	tests := 2 * scopes * l.opt.Looks
 	return math.Log(float64(tests) / l.opt.Alarms)
 }
 
-// judgeRoute judges one route. Samples is negative if the route is not busy
-// enough to be waited for.
-func (l *Ledger) judgeRoute(w *watched, v *view, limit float64, idx int64) Verdict {
-	v.settle()
-	r := w.routes[v.route]
-	v.learn(r)
-	l.excuse(w, r, v, idx)
-	failing, slowing := v.score(r)
-	for _, skip := range v.suspects(w, failing >= suspicion || slowing >= suspicion) {
-		f, s := v.without(skip).score(r)
-		failing, slowing = min(failing, f), min(slowing, s)
+// judgeAll judges all routes together, which finds a version that is bad on
+// all of them sooner than its single routes do.
+func (l *Ledger) judgeAll(w *watched, all scope, limit float64) Verdict {
+	out := Verdict{Kind: Good, Reason: "no worse than the old version", Samples: math.MaxInt}
+	if len(all) < 2 {
+		return out
 	}
+	s := all.score(w)
 	switch {
-	case failing >= limit:
-		return v.bad("fails", failedOf)
-	case slowing >= limit:
-		return v.bad("is slow", v.slowOf(r))
+	case s.failing >= limit:
+		out = Verdict{Kind: Bad, Reason: "the new version fails more often on its routes together"}
+	case s.slowing >= limit:
+		out = Verdict{Kind: Bad, Reason: "the new version is slow more often on its routes together"}
 	}
-	if !v.busy {
-		return Verdict{Kind: Good, Samples: -1}
+	return out
+}
+
+// judgeRoute judges one route.
+func (l *Ledger) judgeRoute(w *watched, v *view, limit float64, idx int64) Verdict {
+	s := scope{v}.score(w)
+	switch {
+	case s.failing >= limit:
+		return v.blame(Bad, "fails", failures)
+	case s.slowing >= limit:
+		return v.blame(Bad, "is slow", slowness)
+	case s.failingAlone >= limit:
+		return v.blame(Suspect, "fails", failures)
+	case s.slowingAlone >= limit:
+		return v.blame(Suspect, "is slow", slowness)
 	}
-	return l.good(v, r, max(failing, slowing), idx)
+	return l.good(v, s.max(), idx)
 }
 
 // good tells whether a busy route without an alarm is good.
-func (l *Ledger) good(v *view, r *route, score float64, idx int64) Verdict {
-	out := Verdict{Kind: Unknown, Samples: v.samples}
+func (l *Ledger) good(v *view, score float64, idx int64) Verdict {
+	out := Verdict{Kind: Unknown, Route: v.name, Samples: v.samples}
 	switch {
 	case v.samples < l.opt.Samples:
 		out.Reason = fmt.Sprintf("%d of %d samples", v.samples, l.opt.Samples)
 	case v.newest <= idx-silence:
 		out.Reason = "no recent samples"
-	case r.cold == idx && v.slower(r):
+	case v.route.cold == idx && v.slower():
 		out.Reason = "caches are cold"
 	case score >= suspicion:
 		out.Reason = "may be worse than the old version"
@@ -137,17 +156,18 @@
 
 // excuse marks the present window as one whose slowness says nothing, while
 // the version has just received more traffic or its latency still falls.
-func (l *Ledger) excuse(w *watched, r *route, v *view, idx int64) {
+func (l *Ledger) excuse(w *watched, v *view, idx int64) {
 	age := time.Duration(idx-w.raised) * Window
-	if age < l.opt.Warm || age < l.opt.Excuse && r.cold >= idx-1 && v.falling(idx) {
-		r.cold = idx
+	if age < l.opt.Warm || age < l.opt.Excuse && v.route.cold >= idx-1 && v.falling() {
+		v.route.cold = idx
 	}
 }
 
-func (v *view) bad(what string, of hits) Verdict {
-	now, before := v.rate(of)
+// blame returns a verdict with a reason that gives the rates of late.
+func (v *view) blame(kind Kind, what string, of metric) Verdict {
+	now, before := v.rate(of, spans-lately)
 	return Verdict{
-		Kind: Bad, Samples: v.samples,
+		Kind: kind, Route: v.name, Samples: v.samples,
 		Reason: fmt.Sprintf("the new version %s on %.1f%% of requests, the old one on %.1f%%", what, 100*now, 100*before),
 	}
 }
--- a/internal/rollout/evidence/series.go
+++ b/internal/rollout/evidence/series.go
@@ -1,6 +1,7 @@
 package evidence
 
 import (
+	"math"
 	"math/bits"
 	"time"
 )
@@ -15,19 +16,22 @@
 )
 
 type (
-	// cell counts the requests of one window.
+	// cell counts the requests of one window, or of one minute.
 	cell struct {
 		index      int64
 		ok, failed uint32
-		latency    [buckets]uint32
+		// latency counts the requests that did not fail. A count stops at
+		// the largest number that fits.
+		latency [buckets]uint16
 	}
 
-	// series holds the last windows of one key as a ring. Past counts the
-	// requests of windows that have left the ring since pastFrom.
+	// series holds the counts of one key: the last windows as a ring, and
+	// what has left that ring as a ring of minutes.
 	series struct {
-		ring     [windows]cell
-		past     uint32
-		pastFrom int64
+		ring    [windows]cell
+		minutes [minutes]cell
+		// swept is the newest window that has been moved to the minutes.
+		swept int64
 	}
 )
 
@@ -45,31 +49,54 @@
 // cell returns the cell of the window index, emptied if it held an older
 // window. It returns nil if the window has left the ring.
 func (s *series) cell(index int64) *cell {
+	s.sweep(index - windows)
 	c := &s.ring[index%windows]
-	if c.index > index {
+	if c.index > index || index <= s.swept {
 		return nil
 	}
 	if c.index < index {
-		if c.index > s.pastFrom {
-			s.past += c.ok + c.failed
-		}
 		*c = cell{index: index}
 	}
 	return c
 }
 
-// since returns how many requests were counted in windows after from.
-func (s *series) since(from, newest int64) int {
-	if s.pastFrom < from {
-		s.past, s.pastFrom = 0, from
+// sweep moves the windows up to index to the minutes.
+func (s *series) sweep(index int64) {
+	if index <= s.swept {
+		return
 	}
-	n := int(s.past)
-	for i := range s.ring {
-		if c := &s.ring[i]; c.index > from && c.index > newest-windows {
-			n += int(c.ok + c.failed)
+	for i := max(s.swept+1, index-windows+1); i <= index; i++ {
+		if c := s.held(i); c != nil {
+			s.minute(i / windows).plus(c)
+			*c = cell{}
 		}
 	}
-	return n
+	s.swept = index
+}
+
+// minute returns the cell of a minute, emptied if it held an older one.
+func (s *series) minute(index int64) *cell {
+	c := &s.minutes[index%minutes]
+	if c.index != index {
+		*c = cell{index: index}
+	}
+	return c
+}
+
+// held returns the cell of the window index, or nil if it counts nothing.
+func (s *series) held(index int64) *cell {
+	if c := &s.ring[index%windows]; c.index == index && c.ok+c.failed > 0 {
+		return c
+	}
+	return nil
+}
+
+// heldMinute is the same for a minute.
+func (s *series) heldMinute(index int64) *cell {
+	if c := &s.minutes[index%minutes]; c.index == index && c.ok+c.failed > 0 {
+		return c
+	}
+	return nil
 }
 
 func (c *cell) add(s Sample) {
@@ -81,5 +108,24 @@
 		return
 	}
 	c.ok++
-	c.latency[bucket(s.Latency)]++
+	if b := bucket(s.Latency); c.latency[b] < math.MaxUint16 {
+		c.latency[b]++
+	}
+}
+
+func (c *cell) plus(o *cell) {
+	c.ok += o.ok
+	c.failed += o.failed
+	for b := range c.latency {
+		c.latency[b] += min(o.latency[b], math.MaxUint16-c.latency[b])
+	}
+}
+
+// above counts the requests in buckets above cut.
+func (c *cell) above(cut int) int {
+	n := 0
+	for b := min(cut+1, buckets); b < buckets; b++ {
+		n += int(c.latency[b])
+	}
+	return n
 }
--- /dev/null
+++ b/internal/rollout/evidence/sum.go
@@ -0,0 +1,38 @@
+package evidence
+
+type (
+	// sum adds up cells of many VMs and windows.
+	sum struct {
+		ok, failed int
+		latency    [buckets]int
+	}
+)
+
+func (s *sum) plus(c *cell) {
+	s.ok += int(c.ok)
+	s.failed += int(c.failed)
+	for b, n := range c.latency {
+		s.latency[b] += int(n)
+	}
+}
+
+// quantile returns the bucket above which only the slow tail lies.
+func (s *sum) quantile() int {
+	rest := s.ok / slowTail
+	for b := buckets - 1; b > 0; b-- {
+		rest -= s.latency[b]
+		if rest < 0 {
+			return b
+		}
+	}
+	return 0
+}
+
+// mean returns the mean bucket of the latencies.
+func (s *sum) mean() float64 {
+	total := 0
+	for b, n := range s.latency {
+		total += b * n
+	}
+	return float64(total) / float64(max(s.ok, 1))
+}
--- a/internal/rollout/evidence/view.go
+++ b/internal/rollout/evidence/view.go
@@ -1,13 +1,15 @@
 package evidence
 
 import (
-	"math"
+	"maps"
 	"slices"
 
 	"sassafrastray"
 )
 
 const (
+	// spans is how many spans of time a view has: minutes, then windows.
+	spans = minutes + windows
 	// slowTail is the part of the old version's requests, as a divisor,
 	// that are slower than its usual latency.
 	slowTail = 10
@@ -26,23 +28,38 @@
 	// requests is on a version that is clearly slower.
 	slowerFactor = 2
 	slowerLeast  = 0.05
-	// maxSuspects bounds how many backend servers are left out in turn.
-	maxSuspects = 4
+	// lately is how many windows the rates in a verdict's reason span.
+	lately = 10
 )
 
 type (
-	// view is one route's counts of all VMs, window by window, oldest first.
+	// view is one route's counts of all VMs, span by span, oldest first.
 	view struct {
-		route  sassafrastray.RouteName
-		oldest int64
-		from   [windows]cell
-		to     [windows]cell
-		// backends holds the new version's counts by backend server.
-		backends map[sassafrastray.BackendName]*[windows]cell
-		samples  int
-		newest   int64
-		total    int
-		busy     bool
+		name   sassafrastray.RouteName
+		route  *route
+		oldest int64 // the oldest window
+		raised int64
+		// fromAll and toAll are the requests of both versions.
+		fromAll, toAll [spans]int
+		parts          []part
+		samples        int
+		newest         int64
+		total          int
+		busy           bool
+	}
+
+	// part is one VM's counts of a route.
+	part struct {
+		from  *series
+		to    []served
+		pairs [metrics][spans]pair
+	}
+
+	// served is a part of the new version's counts: those of one backend
+	// server.
+	served struct {
+		backend sassafrastray.BackendName
+		series  *series
 	}
 
 	// baseline is what is known of the old version, for windows in which it
@@ -56,16 +73,22 @@
 	}
 )
 
-// views gathers the counts of a service's routes over all sources.
-func (l *Ledger) views(service sassafrastray.ServiceName, w *watched, idx int64) map[sassafrastray.RouteName]*view {
-	out := map[sassafrastray.RouteName]*view{}
-	l.gather(l.own, service, w, idx, out)
-	for _, p := range l.peers {
-		l.gather(p, service, w, idx, out)
+// views gathers the counts of a service's routes over all sources, in the
+// order of the routes' names.
+func (l *Ledger) views(service sassafrastray.ServiceName, w *watched, idx int64) []*view {
+	byName := map[sassafrastray.RouteName]*view{}
+	for name, r := range w.routes {
+		byName[name] = &view{name: name, route: r, oldest: idx - windows + 1, raised: w.raised}
+	}
+	l.gather(l.own, service, w, byName)
+	for _, name := range slices.Sorted(maps.Keys(l.peers)) {
+		l.gather(l.peers[name], service, w, byName)
 	}
+	var out []*view
 	all := 0
-	for _, v := range out {
-		all += v.total
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out = append(out, byName[name])
+		all += byName[name].total
 	}
 	for _, v := range out {
 		v.busy = v.total > 0 && (v.total*busy >= all || v.total >= busyLeast)
@@ -73,177 +96,140 @@
 	return out
 }
 
-func (l *Ledger) gather(src *source, service sassafrastray.ServiceName, w *watched, idx int64, out map[sassafrastray.RouteName]*view) {
+// gather adds one source's counts to the views.
+func (l *Ledger) gather(src *source, service sassafrastray.ServiceName, w *watched, out map[sassafrastray.RouteName]*view) {
+	parts := map[sassafrastray.RouteName]*part{}
 	for k, s := range src.series {
-		if k.service != service {
+		v := out[k.route]
+		if k.service != service || v == nil {
 			continue
 		}
-		v := out[k.route]
-		if v == nil {
-			v = &view{route: k.route, oldest: idx - windows + 1, backends: map[sassafrastray.BackendName]*[windows]cell{}}
-			out[k.route] = v
+		s.sweep(v.oldest - 1)
+		p := parts[k.route]
+		if p == nil {
+			p = &part{}
+			parts[k.route] = p
 		}
 		if k.version == w.from {
-			v.collect(&v.from, s)
+			p.from = s
+			v.collect(&v.fromAll, s)
 			continue
 		}
-		v.samples += s.since(w.raised, idx)
-		if v.backends[k.backend] == nil {
-			v.backends[k.backend] = &[windows]cell{}
-		}
-		v.collect(v.backends[k.backend], s)
+		p.to = append(p.to, served{k.backend, s})
+		v.newest = max(v.newest, v.collect(&v.toAll, s))
 	}
-}
-
-// collect adds a series to the windows of a view.
-func (v *view) collect(into *[windows]cell, s *series) {
-	for i := range s.ring {
-		if c := &s.ring[i]; c.index >= v.oldest && c.index < v.oldest+windows && c.ok+c.failed > 0 {
-			into[c.index-v.oldest].plus(c)
-			v.total += int(c.ok + c.failed)
+	for name, p := range parts {
+		v := out[name]
+		v.parts = append(v.parts, *p)
+	}
+	for _, v := range out {
+		v.samples = 0
+		for i, n := range v.toAll {
+			if v.first(i) > v.raised {
+				v.samples += n
+			}
 		}
 	}
 }
 
-// settle sums the new version over its backend servers.
-func (v *view) settle() {
-	for _, b := range v.backends {
-		for i := range b {
-			v.to[i].plus(&b[i])
-			if b[i].ok+b[i].failed > 0 {
-				v.newest = max(v.newest, v.oldest+int64(i))
-			}
+// collect adds a series to the requests of a view, and returns the index of
+// the newest window with a request.
+func (v *view) collect(into *[spans]int, s *series) int64 {
+	var newest int64
+	for i := range into {
+		c := v.cell(s, i)
+		if c == nil {
+			continue
+		}
+		into[i] += int(c.ok + c.failed)
+		v.total += int(c.ok + c.failed)
+		if i >= minutes {
+			newest = c.index
 		}
 	}
+	return newest
 }
 
-// without returns the view without the new version's backend servers in skip.
-func (v *view) without(skip []sassafrastray.BackendName) *view {
-	rest := &view{route: v.route, oldest: v.oldest, from: v.from, backends: map[sassafrastray.BackendName]*[windows]cell{}}
-	for name, b := range v.backends {
-		if !slices.Contains(skip, name) {
-			rest.backends[name] = b
-		}
+// first returns the first window of a span. A minute that is still being
+// filled begins as early as a full one.
+func (v *view) first(span int) int64 {
+	if span >= minutes {
+		return v.oldest + int64(span-minutes)
 	}
-	rest.settle()
-	return rest
+	return ((v.oldest-1)/windows - int64(minutes-1-span)) * windows
 }
 
-// suspects returns the sets of backend servers that are left out in turn: the
-// single servers with most failures and slow requests, and all servers of one
-// failure domain. A version is bad only if it looks bad without each of them.
-func (v *view) suspects(w *watched, needed bool) [][]sassafrastray.BackendName {
-	if !needed || len(v.backends) < fewServers {
+// cell returns a series' cell for a span, or nil if it counts nothing.
+func (v *view) cell(s *series, span int) *cell {
+	if s == nil {
 		return nil
 	}
-	var names []sassafrastray.BackendName
-	domains := map[sassafrastray.DomainName][]sassafrastray.BackendName{}
-	for name := range v.backends {
-		names = append(names, name)
-		domains[w.domains[name]] = append(domains[w.domains[name]], name)
-	}
-	weight := v.weights()
-	slices.SortFunc(names, func(a, b sassafrastray.BackendName) int { return weight[b] - weight[a] })
-	var out [][]sassafrastray.BackendName
-	for _, n := range names[:min(len(names), maxSuspects)] {
-		out = append(out, []sassafrastray.BackendName{n})
-	}
-	if len(domains) >= fewServers {
-		for _, d := range domains {
-			out = append(out, d)
-		}
+	if span >= minutes {
+		return s.held(v.first(span))
 	}
-	return out
+	return s.heldMinute(v.first(span) / windows)
 }
 
-// weights ranks backend servers by failures and by requests that are slow
-// even for the new version.
-func (v *view) weights() map[sassafrastray.BackendName]int {
-	var all cell
-	for i := range v.to {
-		all.plus(&v.to[i])
-	}
-	cut := all.quantile() + slowMargin
-	out := map[sassafrastray.BackendName]int{}
-	for name, b := range v.backends {
-		for i := range b {
-			out[name] += int(b[i].failed) + b[i].above(cut)
+// sum adds up one version's cells over spans from one to before another.
+func (v *view) sum(old bool, start, end int) sum {
+	var out sum
+	add := func(s *series) {
+		for i := start; i < end; i++ {
+			if c := v.cell(s, i); c != nil {
+				out.plus(c)
+			}
+		}
+	}
+	for _, p := range v.parts {
+		if old {
+			add(p.from)
+			continue
+		}
+		for _, b := range p.to {
+			add(b.series)
 		}
 	}
 	return out
 }
 
-// learn updates the route's baseline while the old version has requests.
-func (v *view) learn(r *route) {
-	var all cell
-	for i := range v.from {
-		all.plus(&v.from[i])
+// learn updates the route's baseline while the old version has requests, and
+// counts what is compared with it.
+func (v *view) learn() {
+	all := v.sum(true, minutes, spans)
+	if all.ok+all.failed < baselineLeast {
+		all = v.sum(true, 0, spans)
 	}
-	n := int(all.ok + all.failed)
-	if n < baselineLeast || all.ok == 0 {
-		return
+	if n := all.ok + all.failed; n >= baselineLeast && all.ok > 0 {
+		v.route.base = baseline{known: true, failed: float64(all.failed) / float64(n), usual: all.quantile()}
+	}
+	for i := range v.parts {
+		v.parts[i].count(v)
 	}
-	r.base = baseline{known: true, failed: float64(all.failed) / float64(n), usual: all.quantile()}
 }
 
 // falling tells whether the new version's mean latency has fallen over the
 // last windows.
-func (v *view) falling(idx int64) bool {
-	last := int(idx - v.oldest)
-	recent, before := mean(v.to[last-trend+1:last+1]), mean(v.to[last-2*trend+1:last-trend+1])
-	return recent < before-fallingBuckets
+func (v *view) falling() bool {
+	recent, before := v.sum(false, spans-trend, spans), v.sum(false, spans-2*trend, spans-trend)
+	return recent.mean() < before.mean()-fallingBuckets
 }
 
 // slower tells whether the new version was clearly slower of late than the
 // old version is.
-func (v *view) slower(r *route) bool {
-	of := v.slowOf(r)
-	var hits, all int
-	for i := len(v.to) - trend; i < len(v.to); i++ {
-		h, n := of(&v.to[i], false)
-		hits, all = hits+h, all+n
-	}
-	_, before := v.rate(of)
-	return r.base.known && float64(hits) > (slowerFactor*before+slowerLeast)*float64(all)
-}
-
-// mean returns the mean bucket of the cells' latencies.
-func mean(cells []cell) float64 {
-	n, sum := 0.0, 0.0
-	for i := range cells {
-		for b, c := range cells[i].latency {
-			n += float64(c)
-			sum += float64(c) * float64(b)
-		}
-	}
-	return sum / math.Max(n, 1)
+func (v *view) slower() bool {
+	now, _ := v.rate(slowness, spans-trend)
+	_, before := v.rate(slowness, 0)
+	return v.route.base.known && now > slowerFactor*before+slowerLeast
 }
 
-// quantile returns the bucket above which only the slow tail lies.
-func (c *cell) quantile() int {
-	rest := int(c.ok) / slowTail
-	for b := buckets - 1; b > 0; b-- {
-		rest -= int(c.latency[b])
-		if rest < 0 {
-			return b
+// rate returns the hits' part of the new and of the old version's requests
+// from a span on.
+func (v *view) rate(of metric, start int) (now, before float64) {
+	var all pair
+	for i := range v.parts {
+		for _, p := range v.parts[i].pairs[of][start:] {
+			all.plus(p)
 		}
 	}
-	return 0
-}
-
-// above counts the requests in buckets above cut.
-func (c *cell) above(cut int) int {
-	n := 0
-	for b := min(cut+1, buckets); b < buckets; b++ {
-		n += int(c.latency[b])
-	}
-	return n
-}
-
-func (c *cell) plus(o *cell) {
-	c.ok += o.ok
-	c.failed += o.failed
-	for b := range c.latency {
-		c.latency[b] += o.latency[b]
-	}
+	return all.newHits / max(all.newAll, 1), all.oldHits / max(all.oldAll, 1)
 }
--- a/internal/rollout/move/apply.go
+++ b/internal/rollout/move/apply.go
@@ -4,8 +4,12 @@
 	"time"
 
 	"sassafrastray"
+	"sassafrastray/internal/rollout/evidence"
 )
 
+// trialShare is the largest share of a suspect version, in thousandths.
+const trialShare = 500
+
 type (
 	// Split is how a service's traffic is divided between two versions.
 	Split struct {
@@ -29,6 +33,9 @@
 		Share int
 		// Fresh tells whether the store held Record a moment ago.
 		Fresh bool
+		// Suspect tells whether this VM sees trouble, but can't tell whether
+		// the old version has it too.
+		Suspect bool
 		// Bad tells whether this VM or a peer has found the version bad.
 		Bad bool
 		// Fallback tells whether the old version has backend servers.
@@ -77,7 +84,16 @@
 	case overdue(v.Move, 0, now):
 		return 0, "past the deadline"
 	}
-	return v.Record.Share, string(Running)
+	return trial(v, v.Record.Share, string(Running))
+}
+
+// trial lowers the share of a suspect version, so that the old one has enough
+// requests for a comparison.
+func trial(v View, share int, reason string) (int, string) {
+	if v.Suspect && v.Fallback && share > trialShare {
+		return trialShare, "the new version is compared with the old one"
+	}
+	return share, reason
 }
 
 // ended returns the share after the move's outcome. A new version that turns
@@ -92,7 +108,7 @@
 	case v.Bad:
 		return whole, "done; the new version is bad, but the old one has no backend servers"
 	}
-	return whole, string(Done)
+	return trial(v, whole, string(Done))
 }
 
 // overdue tells whether less than left remains until the move's deadline.
@@ -103,8 +119,9 @@
 func (m *Mover) view(s *service, now time.Time) View {
 	return View{
 		Record: s.rec, Move: s.move, Number: m.number, Share: s.share,
-		Fresh: !s.fresh.IsZero() && now.Sub(s.fresh) < m.opt.Fresh,
-		Bad:   s.bad() != nil, Fallback: s.fallback,
+		Fresh:   !s.fresh.IsZero() && now.Sub(s.fresh) < m.opt.Fresh,
+		Suspect: s.verdict.Kind == evidence.Suspect && now.Sub(s.judgedAt) <= recent,
+		Bad:     s.bad() != nil, Fallback: s.fallback,
 	}
 }
 
--- a/internal/rollout/move/fake_test.go
+++ b/internal/rollout/move/fake_test.go
@@ -69,6 +69,7 @@
 		healthy time.Time // since when the store has had no fault
 		bad     int       // the set of VMs that see that the new version is bad
 		mute    bool      // no judgements reach the VMs
+		murky   bool      // judgements can't tell at times
 		full    bool      // no figure for headroom
 		calls   int
 	}
@@ -306,5 +307,8 @@
 			v.badOf, v.badAt = m.Name, f.now
 		}
 	}
+	if f.murky && f.rng.IntN(4) == 0 && ev.Verdict.Kind == evidence.Good {
+		ev.Verdict.Kind = evidence.Suspect
+	}
 	f.step(i, ev)
 }
--- a/internal/rollout/move/move_test.go
+++ b/internal/rollout/move/move_test.go
@@ -201,6 +201,7 @@
 		"slow": func(t *rapid.T) {
 			f.slow = time.Duration(rapid.SampledFrom([]int{0, 2, 20}).Draw(t, "slow")) * time.Second
 		},
+		"murky":   func(*rapid.T) { f.murky = !f.murky },
 		"mute":    func(*rapid.T) { f.mute = !f.mute },
 		"full":    func(*rapid.T) { f.full = !f.full },
 		"bad":     func(t *rapid.T) { f.bad = rapid.SampledFrom([]int{0, 0, 1, 2, 12, 15}).Draw(t, "bad") },
@@ -211,7 +212,7 @@
 
 // heal ends all faults, and lets time pass until every move must have ended.
 func (f *fleet) heal(t *rapid.T, o *oracle) {
-	f.outage, f.lossy, f.slow, f.mute, f.full = false, false, 0, false, false
+	f.outage, f.lossy, f.slow, f.mute, f.full, f.murky = false, false, 0, false, false, false
 	for _, v := range f.vms {
 		v.paused, v.noLink, v.alone, v.lag = false, false, false, 1
 	}
@@ -238,6 +239,9 @@
 		if rep := v.m.Status(f.now); len(rep) != 1 || rep[0].Move != m.Name || rep[0].State != out.State {
 			t.Fatalf("vm%d reports %+v, the store has %+v", i, rep, out)
 		}
+		if s := v.m.Share(stock, f.now).Share; s != 0 && out.State == Reverted || s != whole && s != 0 && out.State == Done {
+			t.Fatalf("vm%d sends %d after %s was %s", i, s, m.Name, out.State)
+		}
 	}
 }
 
@@ -350,6 +354,48 @@
 	}
 }
 
+func TestApplied(t *testing.T) {
+	now := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	m := wish0("m1", now.Add(time.Minute))
+	running := &Record{Move: "m1", State: Running, Share: 100}
+	last := &Record{Move: "m1", State: Running, Share: whole}
+	done := &Record{Move: "m1", State: Done, Share: whole}
+	past := &Record{Move: "m2", State: Running, Share: 10, Past: []Outcome{{Move: "m1", State: Done}}}
+	later := &Record{Move: "m2", State: Running, Config: 3}
+	tests := []struct {
+		name string
+		view View
+		now  time.Time
+		want int
+	}{
+		{"no record", View{Move: m, Fresh: true, Fallback: true}, now, 0},
+		{"no move", View{Record: running, Share: 10, Fresh: true, Fallback: true}, now, 0},
+		{"fresh", View{Record: running, Move: m, Share: 10, Fresh: true, Fallback: true}, now, 100},
+		{"in doubt", View{Record: running, Move: m, Share: 10, Fallback: true}, now, 10},
+		{"in doubt and lower", View{Record: running, Move: m, Share: 500, Fallback: true}, now, 100},
+		{"bad", View{Record: running, Move: m, Share: 100, Fresh: true, Bad: true, Fallback: true}, now, 0},
+		{"bad without old servers", View{Record: running, Move: m, Share: 100, Bad: true}, now, 0},
+		{"overdue", View{Record: running, Move: m, Share: 100, Fallback: true}, m.Deadline, 0},
+		{"done", View{Record: done, Move: m, Share: 500, Fresh: true, Fallback: true}, m.Deadline, whole},
+		{"done in doubt", View{Record: done, Move: m, Share: 500, Fallback: true}, now, 500},
+		{"done and bad", View{Record: done, Move: m, Share: whole, Fresh: true, Bad: true, Fallback: true}, now, 0},
+		{"done and bad without old servers", View{Record: done, Move: m, Share: whole, Bad: true}, now, whole},
+		{"done and suspect", View{Record: done, Move: m, Share: whole, Suspect: true, Fallback: true}, now, trialShare},
+		{"suspect", View{Record: last, Move: m, Share: whole, Suspect: true, Fallback: true}, now, trialShare},
+		{"suspect without old servers", View{Record: done, Move: m, Share: whole, Suspect: true}, now, whole},
+		{"done in the past", View{Record: past, Move: m, Share: whole, Fallback: true}, now, whole},
+		{"older configuration", View{Record: later, Move: m, Number: 2, Share: 500, Fallback: true}, now, 500},
+		{"older configuration and bad", View{Record: later, Move: m, Number: 2, Share: 500, Bad: true}, now, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got, reason := Applied(tt.view, tt.now); got != tt.want {
+				t.Fatalf("share %d (%s), want %d", got, reason, tt.want)
+			}
+		})
+	}
+}
+
 // TestGood checks that a good version is moved in time, with few store calls.
 func TestGood(t *testing.T) {
 	f := newFleet(1)
