Rehearse whole moves with their own traffic

Cause: the judge and the mover were proved apart. Tests of the judge did not bound the time to detection, so that a judge without the restart of its sum, or with all routes pooled, stayed green. The digests' test had no clock skew.

Ruled out: judging in the test with the truth in place of the evidence.

Change: TestRehearsal runs four VMs with ledgers and movers on 300 requests a second and versions that are good, cold, bad at once, later, under load, on one route, or after the move is done.

--- a/internal/rollout/evidence/score.go
+++ b/internal/rollout/evidence/score.go
@@ -217,7 +217,7 @@
 // the hypergeometric distribution's moments makes the ratio's expectation at
 // most one for like versions and for better ones.
 func (p pair) ratio(odds float64) float64 {
-	if p.newAll == 0 {
+	if p.newAll == 0 || p.newHits+p.oldHits == 0 {
 		return 0
 	}
 	part := p.newAll / (p.newAll + p.oldAll)
--- a/internal/rollout/move/fake_test.go
+++ b/internal/rollout/move/fake_test.go
@@ -72,6 +72,7 @@
 		murky   bool      // judgements can't tell at times
 		full    bool      // no figure for headroom
 		calls   int
+		ledgers []*evidence.Ledger // judge in place of bad, if there are any
 	}
 )
 
@@ -119,6 +120,10 @@
 			f.send(pending{vm: i, get: &e})
 		case Put:
 			f.send(pending{vm: i, put: &e})
+		case Raised:
+			if f.ledgers != nil {
+				f.ledgers[i].Raised(stock, f.now)
+			}
 		}
 	}
 }
@@ -307,6 +312,9 @@
 			v.badOf, v.badAt = m.Name, f.now
 		}
 	}
+	if f.ledgers != nil {
+		ev.Verdict = f.ledgers[i].Judge(stock, m.From, m.To, f.now)
+	}
 	if f.murky && f.rng.IntN(4) == 0 && ev.Verdict.Kind == evidence.Good {
 		ev.Verdict.Kind = evidence.Suspect
 	}
--- /dev/null
+++ b/internal/rollout/move/rehearsal_test.go
@@ -0,0 +1,205 @@
+package move
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"sassafrastray"
+	"sassafrastray/internal/rollout/evidence"
+)
+
+var moves = flag.Int("moves", 0, "simulated moves for each kind of version; 0 means one for some kinds")
+
+const perTick = 75 // requests in each tick, which makes 300 per second
+
+// rehearsal is a fleet whose judgements come from its own traffic.
+type rehearsal struct {
+	*fleet
+	rng   *rand.Rand
+	begun time.Time
+	// bad tells how the new version answers: the part of failures and the
+	// factor on latency, given the time since the start, its share and route.
+	version func(age time.Duration, share, route int) (failed, slow float64)
+	// showed is when the version first answered worse, and sent the
+	// requests to it since then.
+	showed time.Time
+	sent   int
+}
+
+func newRehearsal(seed uint64, deadline time.Duration) *rehearsal {
+	tr := &rehearsal{fleet: newFleet(seed), rng: rand.New(rand.NewPCG(seed, 9))}
+	m := wish0("m0", tr.now.Add(deadline))
+	m.Steps, m.Soak = []int{10, 50, 100, 250, 500, 1000}, 10*time.Second
+	tr.begun = tr.now
+	tr.publish(m)
+	for i := range vmCount {
+		l := evidence.New(tr.name(i), 1, evidence.Options{})
+		tr.ledgers = append(tr.ledgers, l)
+	}
+	return tr
+}
+
+func (tr *rehearsal) service() sassafrastray.Service {
+	s := tr.services(1)[0]
+	s.Backends = nil
+	for i := range 8 {
+		v := sassafrastray.VersionName("v1")
+		if i%2 == 0 {
+			v = "v2"
+		}
+		s.Backends = append(s.Backends, sassafrastray.BackendServer{
+			Name: sassafrastray.BackendName(fmt.Sprint("b", i)), Domain: sassafrastray.DomainName(fmt.Sprint("d", i%4)), Version: v,
+		})
+	}
+	for i := range 4 {
+		s.Routes = append(s.Routes, sassafrastray.Route{Name: sassafrastray.RouteName(fmt.Sprint("r", i))})
+	}
+	return s
+}
+
+// second plays one second of traffic.
+func (tr *rehearsal) second() {
+	for range time.Second / tick {
+		tr.advance()
+		for range perTick {
+			tr.request()
+		}
+	}
+	for i, l := range tr.ledgers {
+		l.Configure([]sassafrastray.Service{tr.service()}, tr.now)
+		d := l.Digest(tr.now)
+		for j, peer := range tr.ledgers {
+			if i != j {
+				peer.Merge(d, tr.now)
+			}
+		}
+	}
+}
+
+func (tr *rehearsal) request() {
+	vm, route := tr.fleet.rng.IntN(vmCount), tr.rng.IntN(4)
+	split := tr.vms[vm].m.Share(stock, tr.now)
+	version := split.Version(tr.rng.IntN(whole))
+	failed, slow := 0.02, 1.0
+	backend := 1 + 2*tr.rng.IntN(4)
+	if version == "v2" {
+		backend--
+		f, s := tr.version(tr.now.Sub(tr.begun), split.Share, route)
+		failed, slow = max(failed, f), s
+		tr.note(f > 0.02 || s > 1.2)
+	}
+	ms := 20 * slow * math.Exp(tr.rng.NormFloat64())
+	s := evidence.Sample{OK: tr.rng.Float64() >= failed, Latency: time.Duration(ms * float64(time.Millisecond))}
+	tr.ledgers[vm].Add(stock, version, sassafrastray.RouteName(fmt.Sprint("r", route)),
+		sassafrastray.BackendName(fmt.Sprint("b", backend)), s, tr.now)
+}
+
+// note counts a request to the new version since it showed that it is bad.
+func (tr *rehearsal) note(bad bool) {
+	if bad && tr.showed.IsZero() {
+		tr.showed = tr.now
+	}
+	if !tr.showed.IsZero() {
+		tr.sent++
+	}
+}
+
+// sending tells whether any VM still sends to the new version.
+func (tr *rehearsal) sending() bool {
+	return slices.ContainsFunc(tr.vms, func(v *vm) bool { return v.m.Share(stock, tr.now).Share > 0 })
+}
+
+var versions = []struct {
+	name string
+	want State
+	// back tells whether the traffic must be back with the old version,
+	// whatever the record says.
+	back    bool
+	version func(age time.Duration, share, route int) (failed, slow float64)
+}{
+	{"good", Done, false, func(time.Duration, int, int) (float64, float64) { return 0.02, 1 }},
+	{"cold caches", Done, false, func(age time.Duration, _, _ int) (float64, float64) {
+		return 0.02, 1 + 8*math.Exp(-age.Seconds()/15)
+	}},
+	{"fails 100% at once", Reverted, true, func(time.Duration, int, int) (float64, float64) { return 1, 1 }},
+	{"fails 30% at once", Reverted, true, func(time.Duration, int, int) (float64, float64) { return 0.3, 1 }},
+	{"fails 10% at once", Reverted, true, func(time.Duration, int, int) (float64, float64) { return 0.1, 1 }},
+	{"4 times slower at once", Reverted, true, func(time.Duration, int, int) (float64, float64) { return 0.02, 4 }},
+	{"fails 50% on one route", Reverted, true, func(_ time.Duration, _, route int) (float64, float64) {
+		if route == 2 {
+			return 0.5, 1
+		}
+		return 0.02, 1
+	}},
+	{"fails 30% after 60 s", Reverted, true, func(age time.Duration, _, _ int) (float64, float64) {
+		if age > time.Minute {
+			return 0.3, 1
+		}
+		return 0.02, 1
+	}},
+	{"fails 30% from a share of 250", Reverted, true, func(_ time.Duration, share, _ int) (float64, float64) {
+		if share >= 250 {
+			return 0.3, 1
+		}
+		return 0.02, 1
+	}},
+	{"4 times slower from a share of 250", Reverted, true, func(_ time.Duration, share, _ int) (float64, float64) {
+		if share >= 250 {
+			return 0.02, 4
+		}
+		return 0.02, 1
+	}},
+	{"fails 40% 60 s after it is done", Done, true, nil},
+}
+
+// TestRehearsal moves versions of several kinds by their own traffic, and tells
+// how long that takes and how many requests reach a bad version.
+func TestRehearsal(t *testing.T) {
+	for i, kind := range versions {
+		if *moves == 0 && i%4 != 2 {
+			continue
+		}
+		var took, sent []int
+		for seed := range max(*moves, 1) {
+			tr := newRehearsal(uint64(seed), 8*time.Minute)
+			tr.version = kind.version
+			var done time.Time
+			if kind.version == nil {
+				tr.version = func(time.Duration, int, int) (float64, float64) {
+					if !done.IsZero() && tr.now.Sub(done) > time.Minute {
+						return 0.4, 1
+					}
+					return 0.02, 1
+				}
+			}
+			end := tr.begun.Add(8 * time.Minute)
+			for tr.now.Before(end) {
+				tr.second()
+				if r := tr.record(); done.IsZero() && r != nil && r.State != Running {
+					done = tr.now
+				}
+				if !done.IsZero() && (!kind.back || !tr.showed.IsZero()) && tr.sending() != kind.back {
+					break
+				}
+			}
+			r := tr.record()
+			if r.State != kind.want || tr.sending() == kind.back {
+				t.Errorf("%s, seed %d: %s (%s), sending %v", kind.name, seed, r.State, r.Reason, tr.sending())
+			}
+			from := tr.begun
+			if kind.back && !tr.showed.IsZero() {
+				from = tr.showed
+			}
+			took, sent = append(took, int(tr.now.Sub(from).Seconds())), append(sent, tr.sent)
+		}
+		slices.Sort(took)
+		slices.Sort(sent)
+		last := len(took) - 1
+		t.Logf("| %s | %d s | %d s | %d | %d |", kind.name, took[len(took)/2], took[last], sent[len(sent)/2], sent[last])
+	}
+}
