Turn away from a VM at its first refused connection

Cause: `make demo`: 50 of 18,282 requests failed with "backend" in the two seconds after a VM was killed. Its neighbour went on choosing it until its heartbeats were missed, and the budget for retries was soon used up. A VM whose configuration was behind the sender's also answered by its own. Ruled out: a larger retry budget, which is there for load. Change: a refused connection makes the VM suspect until it is heard of again; a request that the chosen VM could not take (reason "vm": gone, behind) moves on without the budget; forwarded requests carry the number of the configuration that admitted them.

--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -58,6 +58,8 @@
 		beat   Beat
 		heard  time.Time
 		listed time.Time
+		// failed is set from a failed connection to the next heartbeat.
+		failed bool
 		// missed is when the platform's list last lacked the VM.
 		missed time.Time
 	}
@@ -134,7 +136,18 @@
 	if b.Incarnation == old.Incarnation && old.VM.State == sassafrastray.Leaving {
 		b.VM.State = sassafrastray.Leaving
 	}
-	e.beat, e.heard = b, now
+	e.beat, e.heard, e.failed = b, now, false
+	return true
+}
+
+// Fail notes that no connection to a VM could be opened. It is suspect until
+// it is heard of again. It reports whether that is news.
+func (t *Table) Fail(name sassafrastray.VMName) bool {
+	e := t.entries[name]
+	if e == nil || e.failed {
+		return false
+	}
+	e.failed = true
 	return true
 }
 
@@ -229,7 +242,7 @@
 		if age > t.opt.Dead {
 			continue
 		}
-		view = append(view, Member{Beat: e.beat, Age: age, Suspect: age > t.opt.Suspect})
+		view = append(view, Member{Beat: e.beat, Age: age, Suspect: e.failed || age > t.opt.Suspect})
 	}
 	return view
 }
@@ -247,7 +260,7 @@
 func (t *Table) Known() []sassafrastray.VM { return vms(t.sorted()) }
 
 func (t *Table) alive(e *entry, now time.Time) bool {
-	return !e.heard.IsZero() && now.Sub(e.heard) <= t.opt.Suspect && e.beat.VM.State == sassafrastray.Live
+	return !e.failed && !e.heard.IsZero() && now.Sub(e.heard) <= t.opt.Suspect && e.beat.VM.State == sassafrastray.Live
 }
 
 func (t *Table) sorted() []*entry {
--- a/internal/fleet/peer/message.go
+++ b/internal/fleet/peer/message.go
@@ -35,6 +35,7 @@
 	TeamHeader    = "Inner-Team"
 	KeyHeader     = "Inner-Key"     // digest of the caller's key
 	TimeoutHeader = "Inner-Timeout" // milliseconds left
+	ConfigHeader  = "Inner-Config"  // number of the sender's configuration
 	PathHeader    = "Inner-Path"    // the caller's path and query
 	AvoidHeader   = "Inner-Avoid"   // backend servers not to use again
 	BackendHeader = "Inner-Backend" // backend server that was tried
--- a/internal/fleet/vm/beat.go
+++ b/internal/fleet/vm/beat.go
@@ -134,7 +134,12 @@
 // unreachable notes that no connection to a VM could be opened. Traffic calls
 // it.
 func (v *VM) unreachable(name sassafrastray.VMName) {
-	v.post(func(now time.Time) { v.stepPlaceProbe(name, false, now) })
+	v.post(func(now time.Time) {
+		v.stepPlaceProbe(name, false, now)
+		if v.members.Fail(name) {
+			v.publish(now)
+		}
+	})
 }
 
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
--- a/internal/traffic/entry/answer.go
+++ b/internal/traffic/entry/answer.go
@@ -67,6 +67,7 @@
 	sassafrastray.ReasonStale:    fasthttp.StatusServiceUnavailable,
 	sassafrastray.ReasonLink:     fasthttp.StatusServiceUnavailable,
 	sassafrastray.ReasonShed:     fasthttp.StatusServiceUnavailable,
+	sassafrastray.ReasonVM:       fasthttp.StatusBadGateway,
 	sassafrastray.ReasonGone:     fasthttp.StatusRequestTimeout,
 }
 
@@ -87,6 +88,7 @@
 	sassafrastray.ReasonStale:    "The VM's configuration is too old",
 	sassafrastray.ReasonLink:     "The link has no headroom",
 	sassafrastray.ReasonShed:     "The backend server shed the request",
+	sassafrastray.ReasonVM:       "No VM could take the request",
 	sassafrastray.ReasonGone:     "The caller hung up",
 }
 
--- a/internal/traffic/entry/forward.go
+++ b/internal/traffic/entry/forward.go
@@ -31,7 +31,7 @@
 	if h.Faults.Parted(h.Self.Domain, to.Domain) {
 		in.sleep(min(unreachableAfter, in.deadline.Sub(h.Clock.Now())))
 		h.Unreachable(to.Name)
-		return notRun(sassafrastray.ReasonBackend, "VM unreachable")
+		return notRun(sassafrastray.ReasonVM, "unreachable")
 	}
 	if r := h.paceHead(in, to); r != nil {
 		return r
@@ -53,6 +53,7 @@
 		fasthttp.ReleaseResponse(resp)
 		if out.Failure == upstream.Dial {
 			h.Unreachable(to.Name)
+			return notRun(sassafrastray.ReasonVM, "unreachable")
 		}
 		return h.failed(in, out)
 	}
@@ -64,7 +65,7 @@
 		// Only the inner protocol's own errors have no result, and it gives
 		// those before it takes a request in.
 		drop(resp)
-		return notRun(sassafrastray.ReasonBackend, "VM refused the message")
+		return notRun(sassafrastray.ReasonVM, "it refused the message")
 	}
 	h.deliver(in, resp, func(bool) {})
 	return nil
@@ -84,6 +85,7 @@
 	d.Set(peer.VersionHeader, string(in.version))
 	d.Set(peer.TeamHeader, string(in.team))
 	d.Set(peer.KeyHeader, string(in.digest))
+	setInt(d, peer.ConfigHeader, in.config)
 	setInt(d, peer.TimeoutHeader, in.left(h.Clock.Now()))
 	if len(in.avoid) > 0 {
 		names := make([]string, len(in.avoid))
@@ -149,7 +151,7 @@
 	in.digest = sassafrastray.KeyDigest(d.Peek(peer.KeyHeader))
 	ms, err := strconv.ParseInt(string(d.Peek(peer.TimeoutHeader)), 10, 64)
 	if err != nil {
-		return notRun(sassafrastray.ReasonBackend, "no timeout in a forwarded request")
+		return notRun(sassafrastray.ReasonVM, "no timeout in a forwarded request")
 	}
 	in.deadline = in.arrived.Add(time.Duration(ms) * time.Millisecond)
 	if avoid := d.Peek(peer.AvoidHeader); len(avoid) > 0 {
@@ -157,16 +159,8 @@
 			in.avoid = append(in.avoid, sassafrastray.BackendName(n))
 		}
 	}
-	if s == nil {
-		return notRun(sassafrastray.ReasonBackend, "no configuration yet")
-	}
-	in.service = s.Config.Service(sassafrastray.ServiceName(d.Peek(peer.ServiceHeader)))
-	if in.service == nil {
-		return notRun(sassafrastray.ReasonBackend, "service unknown here")
-	}
-	in.route = in.service.Route(sassafrastray.RouteName(d.Peek(peer.RouteHeader)))
-	if in.route == nil {
-		return notRun(sassafrastray.ReasonBackend, "route unknown here")
+	if r := in.resolve(s); r != nil {
+		return r
 	}
 	if a := in.service.Allowance(in.team); a != nil {
 		in.weight = a.Weight
@@ -175,3 +169,23 @@
 	}
 	return in.setBody(h.Clock.Now)
 }
+
+// resolve finds the service and the route that the other VM names. A VM whose
+// configuration is older than the other's says so instead of judging by it.
+func (in *inbound) resolve(s *Snapshot) *refusal {
+	d := &in.ctx.Request.Header
+	number, err := strconv.ParseInt(string(d.Peek(peer.ConfigHeader)), 10, 64)
+	if err != nil {
+		return notRun(sassafrastray.ReasonVM, "no configuration's number in a forwarded request")
+	}
+	if s == nil || s.Config.Number < number {
+		return notRun(sassafrastray.ReasonVM, "configuration behind")
+	}
+	if in.service = s.Config.Service(sassafrastray.ServiceName(d.Peek(peer.ServiceHeader))); in.service == nil {
+		return notRun(sassafrastray.ReasonVM, "service unknown there")
+	}
+	if in.route = in.service.Route(sassafrastray.RouteName(d.Peek(peer.RouteHeader))); in.route == nil {
+		return notRun(sassafrastray.ReasonVM, "route unknown there")
+	}
+	return nil
+}
--- a/internal/traffic/entry/inbound.go
+++ b/internal/traffic/entry/inbound.go
@@ -36,6 +36,7 @@
 		digest   sassafrastray.KeyDigest
 		version  sassafrastray.VersionName
 		path     string
+		config   int64 // number of the configuration that admitted it
 		arrived  time.Time
 		deadline time.Time
 		avoid    []sassafrastray.BackendName
--- a/internal/traffic/entry/steer.go
+++ b/internal/traffic/entry/steer.go
@@ -28,6 +28,7 @@
 	maybe := false
 	for number := 1; ; number++ {
 		s = h.snap.Load()
+		in.config = s.Config.Number
 		r := h.try(in, s, &refused)
 		if r == nil {
 			return nil
@@ -78,7 +79,7 @@
 	}
 	to, ok := s.VMs[t.VM]
 	if !ok {
-		return notRun(sassafrastray.ReasonBackend, "the chosen VM is gone")
+		return notRun(sassafrastray.ReasonVM, "gone")
 	}
 	return h.forward(in, to)
 }
--- a/internal/traffic/retry/retry.go
+++ b/internal/traffic/retry/retry.go
@@ -136,16 +136,18 @@
 func passing(r sassafrastray.Reason) bool {
 	switch r {
 	case sassafrastray.ReasonBusy, sassafrastray.ReasonBackend, sassafrastray.ReasonBroken,
-		sassafrastray.ReasonShed, sassafrastray.ReasonLeaving:
+		sassafrastray.ReasonShed, sassafrastray.ReasonLeaving, sassafrastray.ReasonVM:
 		return true
 	}
 	return false
 }
 
-// moved reports whether the keeper gave the request back because it is
-// stopping. That is no sign of load, and costs the budget nothing.
+// moved reports whether the chosen VM could not take the request, because it is
+// stopping, gone or behind. That is no sign of load, and costs the budget
+// nothing.
 func moved(a Attempt) bool {
-	return a.Reason == sassafrastray.ReasonLeaving && a.Result == sassafrastray.NotRun
+	away := a.Reason == sassafrastray.ReasonLeaving || a.Reason == sassafrastray.ReasonVM
+	return away && a.Result == sassafrastray.NotRun
 }
 
 // pause returns a time between half of the pause of this try and one and a
--- a/result.go
+++ b/result.go
@@ -29,6 +29,7 @@
 	ReasonLink     Reason = "link"     // the link to the region has no headroom
 	ReasonGone     Reason = "gone"     // the caller hung up
 	ReasonShed     Reason = "shed"     // the backend server shed the request
+	ReasonVM       Reason = "vm"       // the chosen VM could not take the request
 )
 
 type (
