Look at idle connections to the store before using them

Ruled out: repeating reads, which would count as calls and hide outages; and answers that arrive on an idle connection being taken for the next call's (without the look, a put got version 9 from an answer that nobody had asked for). An unasked answer that arrives after the next request has left can't be told from its own: the protocol has no request ids.

Change: take peeks at an idle connection and drops it unless it is open and quiet.

Conclusion: after an outage the first call already goes through.

--- a/internal/platform/store/pool.go
+++ b/internal/platform/store/pool.go
@@ -7,10 +7,12 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 // maxIdle bounds the idle connections that a pool keeps.
@@ -97,16 +99,20 @@
 	return errors.Wrap(err, "read answer")
 }
 
-// take returns an idle lane or a new one, and the number of the call.
+// take returns an idle lane or a new one, and the number of the call. It closes
+// the idle lanes that the store has closed in the meantime.
 func (p *pool) take() (*lane, uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
-	if n := len(p.idle); n > 0 {
+	for n := len(p.idle); n > 0; n = len(p.idle) {
 		l := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		l.sent.Store(false)
-		return l, p.calls
+		if l.quiet() {
+			l.sent.Store(false)
+			return l, p.calls
+		}
+		l.cutOff()
 	}
 	return newLane(p.addr), p.calls
 }
@@ -181,6 +187,29 @@
 	return &laneConn{conn, l}, nil
 }
 
+// quiet tells whether the connection is open and nothing has arrived on it. An
+// idle connection that is not quiet cannot carry another call.
+func (l *lane) quiet() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sc, ok := l.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var (
+		b    [1]byte
+		perr error
+	)
+	err = raw.Control(func(fd uintptr) {
+		_, _, perr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && errors.Is(perr, unix.EAGAIN)
+}
+
 // cutOff closes the lane for good, and with it the call that is under way.
 func (l *lane) cutOff() {
 	l.mu.Lock()
--- a/internal/platform/store/store_test.go
+++ b/internal/platform/store/store_test.go
@@ -39,11 +39,12 @@
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
-// The library's two housekeeping goroutines end by themselves, but only after
-// a sleep of ten seconds.
+// The library's housekeeping goroutines end by themselves, but only after a
+// sleep of up to ten seconds.
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m,
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
 }
--- a/internal/platform/store/wire_test.go
+++ b/internal/platform/store/wire_test.go
@@ -27,7 +27,8 @@
 		// Conns has for each connection, in the order of their opening, the
 		// answers to its requests. After the last it closes; an answer
 		// "hang" keeps it open without a word, and one that begins with
-		// "paired " waits until a second connection has had a request.
+		// "paired " waits until a second connection has had a request. It
+		// sends what is between " PAUSE " words apart.
 		Conns [][]string `yaml:"conns"`
 		Calls []wireCall `yaml:"calls"`
 		// Requests is how many requests arrive in all.
@@ -41,6 +42,8 @@
 		// Cancel ends the call's context after this time.
 		Cancel time.Duration `yaml:"cancel"`
 		Want   string        `yaml:"want"`
+		// After is a pause before the call.
+		After time.Duration `yaml:"after"`
 		// Beside lets the call run beside the next one.
 		Beside bool `yaml:"beside"`
 	}
@@ -61,8 +64,12 @@
 	}
 )
 
-// patience is how long a call may take that has to end early.
-const patience = 8 * time.Second
+const (
+	// patience is how long a call may take that has to end early.
+	patience = 8 * time.Second
+	// pause keeps parts of an answer apart.
+	pause = 20 * time.Millisecond
+)
 
 // TestWire holds what the client makes of each way in which a connection can
 // end, that it sends each request once, and that it never uses a connection
@@ -116,6 +123,7 @@
 }
 
 func (c wireCall) run(t *testing.T, client *store.Client) string {
+	time.Sleep(c.After)
 	s := &script{t: t, client: client}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -178,8 +186,11 @@
 			<-w.stop
 			return
 		}
-		if _, err := conn.Write([]byte(strings.ReplaceAll(a, "\n", "\r\n"))); err != nil {
-			return
+		for _, part := range strings.Split(a, " PAUSE ") {
+			if _, err := conn.Write([]byte(strings.ReplaceAll(part, "\n", "\r\n"))); err != nil {
+				return
+			}
+			time.Sleep(pause)
 		}
 	}
 }
