Bring the load cases in line with the operators' example files

Cause: the cases had teams and services of their own, which no published file knows, and a report did not say why requests broke.

--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -57,7 +58,7 @@
 		return server.Parse(b)
 	}
 	if c.Config != "" {
-		return c.configured()
+		return configured(c.Config, c.Time, c.Spread)
 	}
 	return server.Group(server.Settings{
 		Name:    sassafrastray.BackendName(c.Name),
@@ -67,9 +68,9 @@
 	}, c.Count), nil
 }
 
-// configured returns the backend servers of the operators' files.
-func (c *backendCmd) configured() ([]server.Settings, error) {
-	conf, err := config.Load(c.Config)
+// configured returns the backend servers of a directory of operators' files.
+func configured(dir string, median time.Duration, spread float64) ([]server.Settings, error) {
+	conf, err := config.Load(dir)
 	if err != nil {
 		return nil, err
 	}
@@ -78,9 +79,22 @@
 		for _, b := range s.Backends {
 			all = append(all, server.Settings{
 				Name: b.Name, Service: s.Name, Version: b.Version,
-				Listen: b.Address, Slots: b.Slots, Time: c.Time, Spread: c.Spread,
+				Listen: b.Address, Slots: b.Slots, Time: median, Spread: spread,
 			})
 		}
 	}
 	return all, nil
 }
+
+// inService returns the configured backend servers whose version is the one in
+// service.
+func inService(dir string) ([]server.Settings, error) {
+	conf, err := config.Load(dir)
+	if err != nil {
+		return nil, err
+	}
+	all, err := configured(dir, 0, 0)
+	return slices.DeleteFunc(all, func(s server.Settings) bool {
+		return conf.Service(s.Service).Version != s.Version
+	}), err
+}
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -27,7 +27,7 @@
 type loadCmd struct {
 	Case     string           `arg:"" help:"YAML file of the case." type:"existingfile"`
 	VMs      []netip.AddrPort `help:"VMs to ask first, in place of the case's." name:"vms"`
-	Direct   string           `help:"YAML file of backend servers to send to without the system." type:"existingfile"`
+	Direct   string           `help:"YAML file of servers, or directory of operators' files, to send to without the system." type:"path"`
 	Backends []netip.AddrPort `help:"Control addresses of the backend servers, to compare with what they executed."`
 	Scale    float64          `help:"Factor on the lengths of all phases." default:"1"`
 	Seed     uint64           `help:"Seed of the schedule, in place of the case's."`
@@ -100,17 +100,27 @@
 		}
 		return caller.New(clock, seeds), report.Through, nil
 	}
-	b, err := os.ReadFile(c.Direct)
-	if err != nil {
-		return nil, "", errors.Wrap(err, "read servers")
-	}
-	servers, err := server.Parse(b)
+	servers, err := readServers(c.Direct)
 	if err != nil {
 		return nil, "", err
 	}
 	return caller.NewDirect(clock, servers), report.Direct, nil
 }
 
+// readServers returns the backend servers of a YAML file or of a directory of
+// operators' files. Of the latter it leaves out the versions that receive no
+// traffic.
+func readServers(path string) ([]server.Settings, error) {
+	if st, err := os.Stat(path); err == nil && st.IsDir() {
+		return inService(path)
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read servers")
+	}
+	return server.Parse(b)
+}
+
 // audit asks the backend servers what they executed.
 func (c *loadCmd) audit(r *report.Report, run *load.Run) error {
 	if len(c.Backends) == 0 {
--- a/internal/standin/backend/body.go
+++ b/internal/standin/backend/body.go
@@ -20,9 +20,7 @@
 )
 
 const (
-	echoPath  = "/echo"
-	bytesPath = "/bytes"
-
+	echoPath = "/echo"
 	// maxEcho bounds the body that is sent back, in bytes.
 	maxEcho = 1 << 20
 	// keyPrefix begins each caller's key in tests.
@@ -83,9 +81,10 @@
 	return len(p), nil
 }
 
-// download returns how many bytes of the pattern the request asks for.
+// download returns how many bytes of the pattern the request asks for, which a
+// GET of any path may do.
 func download(ctx *fasthttp.RequestCtx) (int64, bool) {
-	if string(ctx.Path()) != bytesPath {
+	if !ctx.IsGet() {
 		return 0, false
 	}
 	n, err := strconv.ParseInt(string(ctx.QueryArgs().Peek("n")), 10, 64)
--- a/internal/standin/report/report.go
+++ b/internal/standin/report/report.go
@@ -43,6 +43,8 @@
 		// Fairness is over all services first, then by service.
 		Fairness []Fairness     `json:"fairness"`
 		Series   []tally.Series `json:"series"`
+		// Details counts what went wrong, but for refusals, by explanation.
+		Details map[string]int `json:"details"`
 		// Audit is missing if no backend server was asked.
 		Audit *audit.Verdict `json:"audit,omitempty"`
 	}
@@ -78,7 +80,7 @@
 	r := &Report{
 		Case: c.Name, Path: path, Seed: c.Seed, Length: c.Length(), Lag: lag,
 		Total: b.Total(), Teams: b.Teams(), Services: b.Services(), Kinds: b.Kinds(), Rows: b.Rows(),
-		Series: b.Series(),
+		Series: b.Series(), Details: b.Details(),
 	}
 	r.Fairness = append(r.Fairness, compare("", r.Teams))
 	for _, s := range r.Services {
--- a/internal/standin/report/report_test.go
+++ b/internal/standin/report/report_test.go
@@ -1,6 +1,7 @@
 package report_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -53,7 +54,7 @@
 	case a.Number%200 == 9:
 		return outcome.Outcome{Class: outcome.Late}
 	case a.Number%300 == 10:
-		return outcome.Outcome{Class: outcome.Broken, Redials: 1}
+		return outcome.Outcome{Class: outcome.Broken, Redials: 1, Detail: fmt.Sprintf("read 127.0.0.1:%d: EOF", 40000+a.Number)}
 	case a.Number == 11:
 		return outcome.Outcome{Class: outcome.Wrong}
 	case a.Number == 12:
--- a/internal/standin/report/text.go
+++ b/internal/standin/report/text.go
@@ -58,6 +58,9 @@
 func (r *Report) reasons(w io.Writer) {
 	list(w, "refused", r.Total.Refused)
 	list(w, "failed", r.Total.Failed)
+	for _, detail := range slices.Sorted(maps.Keys(r.Details)) {
+		fmt.Fprintf(w, "  %d times %s\n", r.Details[detail], detail)
+	}
 	fmt.Fprintf(w, "time to refusal: p50 %s ms, p99 %s ms\n", ms(r.Total.Refusal.P50), ms(r.Total.Refusal.P99))
 }
 
--- a/internal/standin/scenario/scenario_test.go
+++ b/internal/standin/scenario/scenario_test.go
@@ -36,9 +36,6 @@
 		t.Fatal("no examples", err)
 	}
 	for _, f := range files {
-		if filepath.Base(f) == "servers.yaml" {
-			continue
-		}
 		if _, err := scenario.Parse(f, read(t, f)); err != nil {
 			t.Error(err)
 		}
--- a/internal/standin/server/server_test.go
+++ b/internal/standin/server/server_test.go
@@ -145,7 +145,7 @@
 	if err != nil || len(files) == 0 {
 		t.Fatal("no files", err)
 	}
-	for _, f := range append(files, "../../../examples/load/servers.yaml") {
+	for _, f := range files {
 		name := strings.TrimSuffix(filepath.Base(f), ".yaml")
 		t.Run(name, func(t *testing.T) {
 			b, err := os.ReadFile(f)
--- a/internal/standin/tally/tally.go
+++ b/internal/standin/tally/tally.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"regexp"
 	"slices"
 	"time"
 
@@ -67,6 +68,7 @@
 		accounts map[account]*sums
 		step     time.Duration
 		series   map[sassafrastray.TeamName][]*moment
+		details  map[string]int
 	}
 
 	account struct {
@@ -81,12 +83,17 @@
 	}
 )
 
+// numbers are left out of explanations, so that those that differ only by an
+// address count together.
+var numbers = regexp.MustCompile(`[0-9]+`)
+
 // New returns an empty book for a run of the given length.
 func New(length time.Duration) *Book {
 	return &Book{
 		accounts: map[account]*sums{},
 		step:     max(time.Second, (length / maxSteps).Round(time.Second)),
 		series:   map[sassafrastray.TeamName][]*moment{},
+		details:  map[string]int{},
 	}
 }
 
@@ -109,8 +116,15 @@
 		s.add(a, o, latency)
 	}
 	b.at(team, a.At).add(o, latency)
+	if o.Class != outcome.OK && o.Class != outcome.Refused {
+		b.details[string(o.Class)+": "+numbers.ReplaceAllString(o.Detail, "#")]++
+	}
 }
 
+// Details counts what went wrong by class and explanation, without the numbers
+// in it. Refusals are not among it.
+func (b *Book) Details() map[string]int { return b.details }
+
 // Rows returns one row for each team and service, sorted.
 func (b *Book) Rows() []Row {
 	return b.rows(func(k account) bool { return k.team != "" && k.service != "" })
