--- /dev/null
+++ b/internal/traffic/choice/policy_test.go
@@ -0,0 +1,313 @@
+package choice_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"sassafrastray"
+	"sassafrastray/internal/traffic/choice"
+	"sassafrastray/internal/traffic/keeper"
+	"sassafrastray/internal/traffic/retry"
+)
+
+// trait varies a policy.
+type trait struct {
+	two     bool // the better of two by lagging load, else one at random
+	endless bool // retries until the timeout, else within the budget
+	plain   bool // queue at the first VM, whatever the wait
+}
+
+// direct is a policy whose VMs send to servers by themselves and try again
+// until the timeout when they are shed.
+type direct struct {
+	m       *model
+	trait   trait
+	seen    [][]int
+	since   [][]int
+	retries []*retry.Policy
+}
+
+func newDirect(t trait) func(*model) policy {
+	return func(m *model) policy {
+		d := &direct{m: m, trait: t}
+		for vm := range modelVMs {
+			d.retries = append(d.retries, retry.New(m.rng, retry.Defaults()))
+			d.seen = append(d.seen, make([]int, modelServers))
+			d.since = append(d.since, make([]int, modelServers))
+			m.after(modelBeat*time.Duration(vm)/modelVMs, func() {
+				m.every(modelBeat, func() {
+					for i := range m.servers {
+						d.seen[vm][i], d.since[vm][i] = m.servers[i].running, 0
+					}
+				})
+			})
+		}
+		return d
+	}
+}
+
+func (d *direct) arrive(r *modelRequest) {
+	d.retries[r.entry].Request("stock")
+	d.send(r)
+}
+
+// again returns the pause before the next try, if there is one.
+func (d *direct) again(r *modelRequest) (time.Duration, bool) {
+	if d.trait.endless {
+		return 5*time.Millisecond + time.Duration(d.m.rng.Int64N(int64(10*time.Millisecond))), d.m.now.Sub(r.arrived) < modelTimeout
+	}
+	next := d.retries[r.entry].Next(retry.Attempt{
+		Service: "stock", Number: r.tries, Result: sassafrastray.NotRun, Reason: sassafrastray.ReasonShed,
+		Deadline: r.arrived.Add(modelTimeout), Expected: modelMean,
+	}, d.m.now)
+	return next.Pause, next.Retry
+}
+
+func (d *direct) send(r *modelRequest) {
+	m := d.m
+	r.tries++
+	r.server = m.rng.IntN(modelServers)
+	if other := m.rng.IntN(modelServers); d.trait.two &&
+		d.seen[r.entry][other]+d.since[r.entry][other] < d.seen[r.entry][r.server]+d.since[r.entry][r.server] {
+		r.server = other
+	}
+	d.since[r.entry][r.server]++
+	way := m.delay(r.entry%modelDomains, m.servers[r.server].domain)
+	m.after(way, func() {
+		m.run(r, func(ok bool) {
+			m.after(way, func() {
+				if ok {
+					m.answered(r)
+				} else if pause, ok := d.again(r); ok {
+					m.after(pause, func() { d.send(r) })
+				}
+			})
+		})
+	})
+}
+
+func (d *direct) ended(*modelRequest) {}
+
+// ideal is one queue before all slots.
+type ideal struct {
+	m     *model
+	queue []*modelRequest
+}
+
+func (p *ideal) arrive(r *modelRequest) {
+	p.queue = append(p.queue, r)
+	p.next()
+}
+
+func (p *ideal) next() {
+	for len(p.queue) > 0 && p.m.now.Sub(p.queue[0].arrived) >= modelTimeout {
+		p.queue = p.queue[1:]
+	}
+	i := slices.IndexFunc(p.m.servers, func(s modelServer) bool { return s.running < modelSlots })
+	if i < 0 || len(p.queue) == 0 {
+		return
+	}
+	r := p.queue[0]
+	p.queue = p.queue[1:]
+	r.server = i
+	p.m.run(r, func(bool) { p.m.answered(r) })
+}
+
+func (p *ideal) ended(*modelRequest) { p.next() }
+
+// kept is the policy of this package and of keeper.
+type kept struct {
+	m         *model
+	trait     trait
+	config    *sassafrastray.Config
+	members   []keeper.Member
+	keepers   []*keeper.Keeper
+	loads     [][]keeper.Load
+	at        []time.Time
+	snapshots []*choice.Snapshot
+	retries   []*retry.Policy
+	waiting   map[uint64]*modelRequest
+}
+
+func newKept(t trait) func(*model) policy {
+	return func(m *model) policy {
+		p := &kept{m: m, trait: t, waiting: map[uint64]*modelRequest{}}
+		p.run()
+		return p
+	}
+}
+
+func (p *kept) run() {
+	m := p.m
+	p.configure()
+	for vm := range modelVMs {
+		k := keeper.New(p.members[vm].VM, m.rng, keeper.Defaults())
+		k.Configure(p.config, m.now)
+		k.View(p.members, m.now)
+		p.keepers = append(p.keepers, k)
+		p.retries = append(p.retries, retry.New(m.rng, retry.Defaults()))
+	}
+	p.loads, p.at = make([][]keeper.Load, modelVMs), make([]time.Time, modelVMs)
+	p.snapshots = make([]*choice.Snapshot, modelVMs)
+	for vm, k := range p.keepers {
+		m.every(10*time.Millisecond, func() {
+			starts, drops := k.Tick(m.now)
+			p.start(starts)
+			for _, d := range drops {
+				p.refused(p.waiting[d.ID], 0)
+			}
+		})
+		m.after(modelBeat*time.Duration(vm)/modelVMs, func() {
+			m.every(modelBeat, func() { p.loads[vm], p.at[vm] = k.Load(), m.now })
+		})
+		m.every(100*time.Millisecond, func() { p.snapshots[vm] = choice.New(p.input(vm), p.snapshots[vm], m.now) })
+	}
+}
+
+func (p *kept) configure() {
+	cfg := &sassafrastray.Config{Services: []sassafrastray.Service{{Name: "stock"}}}
+	s := &cfg.Services[0]
+	for r := range p.m.regions {
+		cfg.Fleet.Regions = append(cfg.Fleet.Regions, sassafrastray.Region{Name: name[sassafrastray.RegionName]("r", r)})
+		s.Regions = append(s.Regions, name[sassafrastray.RegionName]("r", r))
+	}
+	for d := range modelDomains {
+		cfg.Fleet.Domains = append(cfg.Fleet.Domains, sassafrastray.FailureDomain{
+			Name: name[sassafrastray.DomainName]("d", d), Region: name[sassafrastray.RegionName]("r", p.m.region(d)),
+		})
+	}
+	for i, b := range p.m.servers {
+		s.Backends = append(s.Backends, sassafrastray.BackendServer{
+			Name: name[sassafrastray.BackendName]("b", i), Domain: name[sassafrastray.DomainName]("d", b.domain),
+			Slots: modelSlots, Version: "v1",
+		})
+	}
+	p.config = cfg
+	for vm := range modelVMs {
+		d := cfg.Fleet.Domains[vm%modelDomains]
+		p.members = append(p.members, keeper.Member{VM: name[sassafrastray.VMName]("vm", vm), Domain: d.Name, Region: d.Region})
+	}
+}
+
+func name[T ~string](prefix string, i int) T { return T(fmt.Sprintf("%s%02d", prefix, i)) }
+
+func number(prefix, s string) int {
+	var i int
+	_, _ = fmt.Sscanf(strings.TrimPrefix(s, prefix), "%d", &i)
+	return i
+}
+
+func (p *kept) input(vm int) choice.Input {
+	in := choice.Input{Self: p.members[vm], Config: p.config}
+	for i, m := range p.members {
+		peer := choice.Peer{Member: m, At: p.at[i], Loads: p.loads[i]}
+		if i == vm {
+			peer.At, peer.Loads = p.m.now, p.keepers[i].Load()
+		}
+		in.Peers = append(in.Peers, peer)
+	}
+	for _, r := range p.config.Fleet.Regions {
+		in.Ways = append(in.Ways, choice.Way{To: r.Name, Delay: 55 * time.Millisecond, Headroom: 3_000_000, At: p.m.now})
+	}
+	return in
+}
+
+func (p *kept) arrive(r *modelRequest) {
+	p.retries[r.entry].Request("stock")
+	p.send(r)
+}
+
+func (p *kept) send(r *modelRequest) {
+	c, ok := p.snapshots[r.entry].Pick(choice.Request{
+		Service: "stock", Version: "v1", Team: teamName(r), Bytes: modelBytes,
+	}, p.m.now, p.m.rng)
+	if !ok {
+		return
+	}
+	if p.trait.plain {
+		c.Second = choice.Target{}
+	}
+	r.choice, r.step = c, 0
+	p.next(r)
+}
+
+// next makes the next offer of the request's choice.
+func (p *kept) next(r *modelRequest) {
+	o, ok := r.choice.Offer(r.step, r.waits)
+	if !ok {
+		return
+	}
+	r.target, r.patience = o.Target, o.Patience
+	r.target.Sent()
+	r.keeperVM = number("vm", string(r.target.VM))
+	p.m.after(p.way(r), func() { p.offer(r) })
+}
+
+func teamName(r *modelRequest) sassafrastray.TeamName {
+	return name[sassafrastray.TeamName]("t", r.team)
+}
+
+func (p *kept) way(r *modelRequest) time.Duration {
+	return p.m.delay(r.entry%modelDomains, r.keeperVM%modelDomains)
+}
+
+func (p *kept) offer(r *modelRequest) {
+	o := p.keepers[r.keeperVM].Offer(keeper.Request{
+		ID: uint64(r.id), Service: "stock", Version: "v1", Team: teamName(r), Patience: r.patience,
+		Weight: modelWeights[r.team], Deadline: r.arrived.Add(modelTimeout - p.way(r)),
+	}, p.m.now)
+	p.waiting[uint64(r.id)] = r
+	switch o.Kind {
+	case keeper.Dispatch:
+		p.dispatch(r, o.Backend)
+	case keeper.Refused:
+		p.refused(r, o.Wait)
+	case keeper.Queued:
+		r.told, r.queued = o.Wait, p.m.now
+	}
+}
+
+func (p *kept) start(starts []keeper.Start) {
+	for _, s := range slices.Clone(starts) {
+		r := p.waiting[s.ID]
+		if p.m.warm() {
+			p.m.result.waits = append(p.m.result.waits, p.m.now.Sub(r.queued)-r.told)
+		}
+		p.dispatch(r, s.Backend)
+	}
+}
+
+func (p *kept) dispatch(r *modelRequest, b sassafrastray.BackendName) {
+	k := p.keepers[r.keeperVM]
+	r.server = number("b", string(b))
+	p.m.run(r, func(ok bool) {
+		if !ok {
+			p.start(k.Done(uint64(r.id), keeper.End{Kind: keeper.Shed}, p.m.now))
+			p.refused(r, 0)
+			return
+		}
+		p.start(k.Done(uint64(r.id), keeper.End{Kind: keeper.OK}, p.m.now))
+		p.m.after(p.way(r), func() { p.m.answered(r) })
+	})
+}
+
+// refused takes a request that did not run back to its entry VM, which makes
+// the next offer of the choice.
+func (p *kept) refused(r *modelRequest, wait time.Duration) {
+	delete(p.waiting, uint64(r.id))
+	p.m.after(p.way(r), func() {
+		r.target.Done()
+		if r.step < len(r.waits) {
+			r.waits[r.step] = wait
+		}
+		r.step++
+		p.next(r)
+	})
+}
+
+func (p *kept) ended(r *modelRequest) {
+	delete(p.waiting, uint64(r.id))
+	r.target.Done()
+}
--- a/internal/traffic/keeper/backend.go
+++ b/internal/traffic/keeper/backend.go
@@ -24,6 +24,7 @@
 
 	probePause    = 500 * time.Millisecond
 	probePauseMax = 8 * time.Second
+	probeWait     = 2 * time.Second // for an idempotent request
 	panicPause    = 100 * time.Millisecond
 	shedPause     = 20 * time.Millisecond
 	shedPauseMax  = time.Second
--- a/internal/traffic/keeper/dispatch.go
+++ b/internal/traffic/keeper/dispatch.go
@@ -19,7 +19,7 @@
 	if p == nil || !p.reachable(r.Exclude) {
 		return Outcome{Kind: Refused, Reason: k.absent()}
 	}
-	if b := k.pick(p, r.Exclude, now); b != nil && (p.queued == 0 || !k.usable(p, now)) {
+	if b := k.pick(p, r.Idempotent, r.Exclude, now); b != nil && (p.queued == 0 || !k.usable(p, now)) {
 		p.charge(p.team(r.Team, r.Weight))
 		k.dispatch(r.ID, p, b, r.Route, now)
 		return Outcome{Kind: Dispatch, Backend: b.name, Reason: sassafrastray.ReasonOK}
@@ -69,7 +69,10 @@
 		}
 		k.drop(l.tail, sassafrastray.ReasonBusy)
 	}
-	it := &item{id: r.ID, team: t, route: r.Route, deadline: r.Deadline, offered: now, exclude: r.Exclude}
+	it := &item{
+		id: r.ID, team: t, route: r.Route, deadline: r.Deadline, offered: now,
+		idempotent: r.Idempotent, exclude: r.Exclude,
+	}
 	p.push(it)
 	k.queued[r.ID] = it
 	return Outcome{Kind: Queued, Reason: sassafrastray.ReasonOK, Wait: wait}
@@ -155,9 +158,9 @@
 }
 
 // next returns the request that starts next and its backend server, or nil.
-// A team whose requests all exclude the free backend servers is passed over.
+// A team whose requests can't go to the free backend servers is passed over.
 func (k *Keeper) next(p *pool, now time.Time) (*item, *backend) {
-	best := k.pick(p, nil, now)
+	best := k.pick(p, true, nil, now)
 	if best == nil {
 		return nil, nil
 	}
@@ -169,9 +172,9 @@
 			following := it.next
 			if reason := p.hopeless(it, now); reason != sassafrastray.ReasonOK {
 				k.drop(it, reason)
-			} else if len(it.exclude) == 0 {
+			} else if len(it.exclude) == 0 && (it.idempotent || !best.down) {
 				return it, best
-			} else if b := k.pick(p, it.exclude, now); b != nil {
+			} else if b := k.pick(p, it.idempotent, it.exclude, now); b != nil {
 				return it, b
 			}
 			it = following
--- a/internal/traffic/keeper/pool.go
+++ b/internal/traffic/keeper/pool.go
@@ -137,7 +137,7 @@
 // pick returns the backend server with the greatest part of its capacity free
 // that is not excluded, or nil. Those that are alike take turns at random. One
 // that is due for a probe goes first, or it would never get one under low load.
-func (k *Keeper) pick(p *pool, exclude []sassafrastray.BackendName, now time.Time) *backend {
+func (k *Keeper) pick(p *pool, idempotent bool, exclude []sassafrastray.BackendName, now time.Time) *backend {
 	if k.share.free(1) <= 0 {
 		return nil
 	}
@@ -150,8 +150,10 @@
 		if n <= 0 || excluded(b.name, exclude) {
 			continue
 		}
-		if b.down {
+		if b.down && (idempotent || !now.Before(b.probeAt.Add(probeWait))) {
 			return b
+		} else if b.down {
+			continue
 		}
 		c := b.capacity()
 		switch better := n*of - most*c; {
--- a/internal/traffic/keeper/queue.go
+++ b/internal/traffic/keeper/queue.go
@@ -15,6 +15,7 @@
 		route      sassafrastray.RouteName
 		deadline   time.Time
 		offered    time.Time
+		idempotent bool
 		exclude    []sassafrastray.BackendName
 		prev, next *item
 	}
--- a/internal/traffic/keeper/request.go
+++ b/internal/traffic/keeper/request.go
@@ -48,6 +48,9 @@
 		Weight   int
 		Route    sassafrastray.RouteName
 		Deadline time.Time
+		// Idempotent requests probe backend servers that were out; others do
+		// so only if none has for a time.
+		Idempotent bool
 		// Patience is the longest expected wait that it accepts; zero means
 		// any that its deadline allows.
 		Patience time.Duration
--- a/internal/traffic/keeper/table_test.go
+++ b/internal/traffic/keeper/table_test.go
@@ -127,3 +127,56 @@
 		k.Tick(now)
 	}
 }
+
+// A probe is an idempotent request if one comes in time.
+func TestProbe(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	k := benchKeeper(1, now)
+	now = now.Add(time.Minute)
+	b := k.backends["s0b0"]
+	for range failuresToDown {
+		b.used++
+		b.end(End{Kind: Failed}, now, now, k.opt, k.rng)
+	}
+	offer := func(id uint64, idempotent bool) sassafrastray.BackendName {
+		return k.Offer(Request{
+			ID: id, Service: "s0", Version: "v1", Idempotent: idempotent, Deadline: now.Add(time.Minute),
+		}, now).Backend
+	}
+	now = b.probeAt
+	if got := offer(1, false); got == b.name {
+		t.Error("a non-idempotent request probes at once")
+	}
+	if got := offer(2, true); got != b.name {
+		t.Errorf("an idempotent request goes to %s", got)
+	}
+	k.Done(2, End{Kind: OK}, now)
+	now = now.Add(probeWait)
+	if got := offer(3, false); got != b.name {
+		t.Errorf("after a time without any, a non-idempotent request goes to %s", got)
+	}
+}
+
+// A free slot goes to the first request that may use it, of whichever team.
+func TestPassOver(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	k := benchKeeper(1, now)
+	now = now.Add(time.Minute)
+	offer := func(id uint64, team sassafrastray.TeamName, exclude ...sassafrastray.BackendName) Outcome {
+		return k.Offer(Request{
+			ID: id, Service: "s0", Version: "v1", Team: team, Exclude: exclude, Deadline: now.Add(time.Minute),
+		}, now)
+	}
+	at := map[sassafrastray.BackendName]uint64{}
+	for id := range uint64(80) {
+		at[offer(id, "c").Backend] = id
+	}
+	offer(100, "a", "s0b0")
+	offer(101, "b")
+	if starts := k.Done(at["s0b0"], End{Kind: OK}, now); len(starts) != 1 || starts[0].ID != 101 {
+		t.Errorf("the slot goes to %v", starts)
+	}
+	if starts := k.Done(at["s0b1"], End{Kind: OK}, now); len(starts) != 1 || starts[0].ID != 100 {
+		t.Errorf("the next slot goes to %v", starts)
+	}
+}
--- a/internal/traffic/keeper/world_test.go
+++ b/internal/traffic/keeper/world_test.go
@@ -246,9 +246,10 @@
 func (w *world) offer(v *vm, s sassafrastray.ServiceName) {
 	c := &call{vm: v, Request: Request{
 		ID: uint64(len(w.byID) + 1), Version: "v1", Service: s,
-		Team:     rapid.SampledFrom([]sassafrastray.TeamName{"", "nan", "isan"}).Draw(w.t, "team"),
-		Weight:   rapid.IntRange(0, 3).Draw(w.t, "weight"),
-		Deadline: w.now.Add(time.Duration(rapid.IntRange(-1, 2000).Draw(w.t, "timeout")) * time.Millisecond),
+		Team:       rapid.SampledFrom([]sassafrastray.TeamName{"", "nan", "isan"}).Draw(w.t, "team"),
+		Weight:     rapid.IntRange(0, 3).Draw(w.t, "weight"),
+		Idempotent: w.draw("idempotent"),
+		Deadline:   w.now.Add(time.Duration(rapid.IntRange(-1, 2000).Draw(w.t, "timeout")) * time.Millisecond),
 	}}
 	if rapid.IntRange(0, 3).Draw(w.t, "excludes") == 0 {
 		servers := w.config.Service(s).Backends
