--- /dev/null
+++ b/internal/fleet/member/relay.go
@@ -0,0 +1,254 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sassafrastray"
+)
+
+// exchange is how often a VM of a sparse fleet also asks a VM of its failure
+// domain that it does not hear of, as one in so many rounds. It finds VMs that
+// no other VM of the domain has found.
+const exchange = 8
+
+type (
+	// Mark is how far one VM's knowledge of a failure domain goes. Number
+	// grows with each round in which the domain is known to live; Sum is a
+	// hash of the domain's summary, which changes more seldom.
+	Mark struct {
+		Domain sassafrastray.DomainName `json:"d"`
+		Number uint64                   `json:"n"`
+		Sum    uint32                   `json:"s"`
+	}
+
+	// Seen is the latest heartbeat that a VM has of another one.
+	Seen struct {
+		VM          sassafrastray.VMName      `json:"v"`
+		Incarnation sassafrastray.Incarnation `json:"i"`
+		Sequence    uint64                    `json:"q"`
+	}
+
+	// domain is what the table knows of a failure domain as a whole.
+	domain struct {
+		mark    Mark
+		entries []sassafrastray.VMName
+	}
+)
+
+// newer reports whether m replaces o. Delegates that differ may use the same
+// number; then the larger hash wins everywhere.
+func (m Mark) newer(o Mark) bool {
+	return cmp.Or(cmp.Compare(m.Number, o.Number), cmp.Compare(m.Sum, o.Sum)) > 0
+}
+
+// Sparse reports whether the fleet is too large for every VM to send
+// heartbeats to every other.
+func (t *Table) Sparse() bool { return len(t.entries) >= t.opt.Direct }
+
+// Writes reports whether this VM is one of the delegates that write the
+// summary of its failure domain. A VM that was paused listens first, since its
+// view is from before the pause.
+func (t *Table) Writes(now time.Time) bool {
+	return t.Sparse() && !now.Before(t.silentUntil) && t.Rank(now) < t.opt.Delegates
+}
+
+// Entries returns the VMs of the own failure domain, this one apart, that
+// others may be sent to, those of highest rank first.
+func (t *Table) Entries(now time.Time) []Member {
+	var live []*entry
+	for _, e := range t.sorted() {
+		if e.beat.VM.Domain == t.self.Domain && t.alive(e, now) {
+			live = append(live, e)
+		}
+	}
+	slices.SortFunc(live, func(a, b *entry) int { return cmp.Compare(rank(b.beat.VM.Name), rank(a.beat.VM.Name)) })
+	out := make([]Member, len(live))
+	for i, e := range live {
+		out[i] = Member{Beat: e.beat, Age: now.Sub(e.heard)}
+	}
+	return out
+}
+
+// Write gives the own domain's summary its next number.
+func (t *Table) Write(sum uint32) Mark {
+	d := t.domain(t.self.Domain)
+	d.mark.Number++
+	d.mark.Sum = sum
+	return d.mark
+}
+
+// Marks returns how far the table's knowledge of each failure domain goes.
+func (t *Table) Marks() []Mark {
+	out := make([]Mark, 0, len(t.domains))
+	for _, d := range t.domains {
+		if d.mark.Number > 0 {
+			out = append(out, d.mark)
+		}
+	}
+	slices.SortFunc(out, func(a, b Mark) int { return cmp.Compare(a.Domain, b.Domain) })
+	return out
+}
+
+// Newer returns the marks that are newer than theirs. Those whose Sum differs
+// need their summary sent along.
+func (t *Table) Newer(theirs []Mark) (marks []Mark, changed []sassafrastray.DomainName) {
+	has := make(map[sassafrastray.DomainName]Mark, len(theirs))
+	for _, m := range theirs {
+		has[m.Domain] = m
+	}
+	for _, m := range t.Marks() {
+		o := has[m.Domain]
+		if !m.newer(o) {
+			continue
+		}
+		marks = append(marks, m)
+		if m.Sum != o.Sum || o.Number == 0 {
+			changed = append(changed, m.Domain)
+		}
+	}
+	return marks, changed
+}
+
+// Refresh takes in a mark without its summary: the domain still lives, and its
+// summary is the one that the table has. It reports whether that was news.
+func (t *Table) Refresh(m Mark, now time.Time) bool {
+	d := t.domains[m.Domain]
+	if d == nil || d.mark.Number == 0 || m.Sum != d.mark.Sum || !m.newer(d.mark) {
+		return false
+	}
+	d.mark = m
+	if m.Domain == t.self.Domain {
+		return true
+	}
+	for _, name := range d.entries {
+		if e := t.entries[name]; e != nil && !e.heard.IsZero() {
+			e.heard = now
+		}
+	}
+	return true
+}
+
+// Learn takes in a mark with the heartbeats of its summary. It reports whether
+// that was news. VMs that the summary no longer names are out of the view at
+// once; the table keeps their incarnations, so that late heartbeats of theirs
+// stay late.
+func (t *Table) Learn(m Mark, entries []Beat, now time.Time) bool {
+	d := t.domain(m.Domain)
+	if !m.newer(d.mark) {
+		return false
+	}
+	d.mark = m
+	if m.Domain == t.self.Domain {
+		// The own domain's VMs are known better than by their summary.
+		return true
+	}
+	named := make(map[sassafrastray.VMName]bool, len(entries))
+	d.entries = d.entries[:0]
+	for _, b := range entries {
+		named[b.VM.Name] = true
+		d.entries = append(d.entries, b.VM.Name)
+		t.Hear(b, now)
+		if e := t.entries[b.VM.Name]; e != nil && e.beat.Incarnation == b.Incarnation {
+			e.heard = now
+		}
+	}
+	for name, e := range t.entries {
+		if e.beat.VM.Domain == m.Domain && !named[name] {
+			e.heard = time.Time{}
+		}
+	}
+	return true
+}
+
+// Seen returns the latest heartbeats of the own failure domain's VMs.
+func (t *Table) Seen() []Seen {
+	var out []Seen
+	for _, e := range t.sorted() {
+		if e.beat.VM.Domain == t.self.Domain && !e.heard.IsZero() {
+			out = append(out, Seen{e.beat.VM.Name, e.beat.Incarnation, e.beat.Sequence})
+		}
+	}
+	return out
+}
+
+// Unseen returns the VMs of the own failure domain of which theirs lacks the
+// latest heartbeat, if the VM was heard of lately.
+func (t *Table) Unseen(theirs []Seen, now time.Time) []sassafrastray.VMName {
+	has := make(map[sassafrastray.VMName]Seen, len(theirs))
+	for _, s := range theirs {
+		has[s.VM] = s
+	}
+	var out []sassafrastray.VMName
+	for _, e := range t.sorted() {
+		b := e.beat
+		if b.VM.Domain != t.self.Domain || e.heard.IsZero() || now.Sub(e.heard) > t.dead() {
+			continue
+		}
+		s := has[b.VM.Name]
+		if b.Incarnation > s.Incarnation || b.Incarnation == s.Incarnation && b.Sequence > s.Sequence {
+			out = append(out, b.VM.Name)
+		}
+	}
+	return out
+}
+
+// sparse returns a VM of the own failure domain and, in so many rounds that
+// the domain makes Fanout of them together, one of another domain.
+func (t *Table) sparse(all []*entry, now time.Time) []sassafrastray.VM {
+	byDomain := make(map[sassafrastray.DomainName][]*entry)
+	var domains []sassafrastray.DomainName
+	for _, e := range all {
+		d := e.beat.VM.Domain
+		if byDomain[d] == nil && d != t.self.Domain {
+			domains = append(domains, d)
+		}
+		byDomain[d] = append(byDomain[d], e)
+	}
+	mates := byDomain[t.self.Domain]
+	live := t.living(mates, now)
+	var to []sassafrastray.VM
+	if len(live) == 0 || t.rng.IntN(exchange) == 0 {
+		to = t.any(to, mates)
+	} else {
+		to = t.any(to, live)
+	}
+	if len(domains) == 0 || t.rng.IntN(len(live)+1) >= t.opt.Fanout {
+		return to
+	}
+	// Domains that are not heard of are drawn like others: a cut that ends
+	// is only found by trying.
+	far := byDomain[domains[t.rng.IntN(len(domains))]]
+	if l := t.living(far, now); len(l) > 0 {
+		far = l
+	}
+	return t.any(to, far)
+}
+
+func (t *Table) living(of []*entry, now time.Time) []*entry {
+	var out []*entry
+	for _, e := range of {
+		if t.alive(e, now) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// any appends a VM drawn from the entries, if there are some.
+func (t *Table) any(to []sassafrastray.VM, from []*entry) []sassafrastray.VM {
+	if len(from) == 0 {
+		return to
+	}
+	return append(to, from[t.rng.IntN(len(from))].beat.VM)
+}
+
+func (t *Table) domain(name sassafrastray.DomainName) *domain {
+	d := t.domains[name]
+	if d == nil {
+		d = &domain{mark: Mark{Domain: name}}
+		t.domains[name] = d
+	}
+	return d
+}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -27,12 +28,17 @@
 		// still sent heartbeats.
 		Forget time.Duration
 		// Direct is the largest fleet in which every VM sends heartbeats to
-		// every other. Beyond it, VMs speak to their own failure domain and
-		// Delegates of each domain speak to those of Fanout other domains
-		// at a time.
+		// every other. Beyond it the fleet is sparse: a VM speaks to one VM
+		// of its failure domain at a time, the domain's VMs together speak
+		// to Fanout VMs of other domains in a round, and Delegates of each
+		// domain write its summary.
 		Direct    int
 		Delegates int
 		Fanout    int
+		// SparseSuspect and SparseDead take the place of Suspect and Dead in
+		// a sparse fleet, where heartbeats arrive through others.
+		SparseSuspect time.Duration
+		SparseDead    time.Duration
 	}
 
 	// Beat is the part of a heartbeat that the table reads.
@@ -66,8 +72,15 @@
 	Table struct {
 		self    sassafrastray.VM
 		opt     Options
+		rng     *rand.Rand
 		entries map[sassafrastray.VMName]*entry
-		round   int
+		domains map[sassafrastray.DomainName]*domain
+		// order has the entries by name, nil after a change.
+		order []*entry
+		// ticked is the time of the last Tick. After a pause the VM writes
+		// no summary before silentUntil.
+		ticked      time.Time
+		silentUntil time.Time
 	}
 )
 
@@ -75,13 +88,17 @@
 func Defaults() Options {
 	return Options{
 		Suspect: 2 * time.Second, Dead: 6 * time.Second, Forget: time.Minute,
-		Direct: 24, Delegates: 2, Fanout: 6,
+		Direct: 24, Delegates: 2, Fanout: 4,
+		SparseSuspect: 5 * time.Second, SparseDead: 10 * time.Second,
 	}
 }
 
 // New returns a table that knows only the VM itself.
-func New(self sassafrastray.VM, opt Options) *Table {
-	return &Table{self: self, opt: opt, entries: make(map[sassafrastray.VMName]*entry)}
+func New(self sassafrastray.VM, opt Options, rng *rand.Rand) *Table {
+	return &Table{
+		self: self, opt: opt, rng: rng,
+		entries: make(map[sassafrastray.VMName]*entry), domains: make(map[sassafrastray.DomainName]*domain),
+	}
 }
 
 // List takes in the platform's list. It lags, so a VM that it lacks is
@@ -97,7 +114,7 @@
 		e := t.entries[v.Name]
 		if e == nil {
 			e = &entry{beat: Beat{VM: v}}
-			t.entries[v.Name] = e
+			t.entries[v.Name], t.order = e, nil
 		}
 		if e.heard.IsZero() {
 			e.beat.VM = v
@@ -124,7 +141,7 @@
 	e := t.entries[b.VM.Name]
 	if e == nil {
 		e = &entry{missed: now}
-		t.entries[b.VM.Name] = e
+		t.entries[b.VM.Name], t.order = e, nil
 	}
 	old := e.beat
 	if b.Incarnation < old.Incarnation || b.Incarnation == old.Incarnation && b.Sequence <= old.Sequence {
@@ -142,43 +159,23 @@
 // that the next heartbeat goes to.
 func (t *Table) Tick(now time.Time) []sassafrastray.VM {
 	for name, e := range t.entries {
-		silent := e.heard.IsZero() || now.Sub(e.heard) > t.opt.Dead
+		silent := e.heard.IsZero() || now.Sub(e.heard) > t.dead()
 		if silent && !e.missed.IsZero() && now.Sub(e.missed) > t.opt.Forget {
 			delete(t.entries, name)
+			t.order = nil
 		}
 	}
+	if now.Sub(t.ticked) > t.suspect() {
+		t.silentUntil = now.Add(t.suspect())
+	}
+	t.ticked = now
 	all := t.sorted()
-	if len(all) < t.opt.Direct {
+	if !t.Sparse() {
 		return vms(all)
 	}
 	return t.sparse(all, now)
 }
 
-// sparse returns the VM's own failure domain and, if the VM is one of its
-// domain's delegates, the delegates of the next few other domains.
-func (t *Table) sparse(all []*entry, now time.Time) []sassafrastray.VM {
-	byDomain := make(map[sassafrastray.DomainName][]*entry)
-	var domains []sassafrastray.DomainName
-	for _, e := range all {
-		d := e.beat.VM.Domain
-		if byDomain[d] == nil && d != t.self.Domain {
-			domains = append(domains, d)
-		}
-		byDomain[d] = append(byDomain[d], e)
-	}
-	to := vms(byDomain[t.self.Domain])
-	if t.above(byDomain[t.self.Domain], now) >= t.opt.Delegates {
-		return to
-	}
-	slices.Sort(domains)
-	for i := range min(t.opt.Fanout, len(domains)) {
-		d := domains[(t.round+i)%len(domains)]
-		to = append(to, vms(t.delegates(byDomain[d], now))...)
-	}
-	t.round += t.opt.Fanout
-	return to
-}
-
 // Rank returns how many live VMs of the failure domain come before this VM
 // when one or a few are to act for all.
 func (t *Table) Rank(now time.Time) int {
@@ -201,22 +198,6 @@
 	return n
 }
 
-// delegates returns the VMs that speak for a domain: the live ones of highest
-// rank or, where none is known to live, those of highest rank.
-func (t *Table) delegates(of []*entry, now time.Time) []*entry {
-	of = slices.Clone(of)
-	slices.SortFunc(of, func(a, b *entry) int {
-		if x, y := t.alive(a, now), t.alive(b, now); x != y {
-			if x {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(rank(b.beat.VM.Name), rank(a.beat.VM.Name))
-	})
-	return of[:min(len(of), t.opt.Delegates)]
-}
-
 // View returns the VMs that were heard of lately, by name. The VM itself is
 // not among them.
 func (t *Table) View(now time.Time) []Member {
@@ -226,10 +207,10 @@
 			continue
 		}
 		age := now.Sub(e.heard)
-		if age > t.opt.Dead {
+		if age > t.dead() {
 			continue
 		}
-		view = append(view, Member{Beat: e.beat, Age: age, Suspect: age > t.opt.Suspect})
+		view = append(view, Member{Beat: e.beat, Age: age, Suspect: age > t.suspect()})
 	}
 	return view
 }
@@ -247,16 +228,33 @@
 func (t *Table) Known() []sassafrastray.VM { return vms(t.sorted()) }
 
 func (t *Table) alive(e *entry, now time.Time) bool {
-	return !e.heard.IsZero() && now.Sub(e.heard) <= t.opt.Suspect && e.beat.VM.State == sassafrastray.Live
+	return !e.heard.IsZero() && now.Sub(e.heard) <= t.suspect() && e.beat.VM.State == sassafrastray.Live
+}
+
+func (t *Table) suspect() time.Duration {
+	if t.Sparse() {
+		return t.opt.SparseSuspect
+	}
+	return t.opt.Suspect
+}
+
+func (t *Table) dead() time.Duration {
+	if t.Sparse() {
+		return t.opt.SparseDead
+	}
+	return t.opt.Dead
 }
 
 func (t *Table) sorted() []*entry {
-	all := make([]*entry, 0, len(t.entries))
+	if t.order != nil || len(t.entries) == 0 {
+		return t.order
+	}
+	t.order = make([]*entry, 0, len(t.entries))
 	for _, e := range t.entries {
-		all = append(all, e)
+		t.order = append(t.order, e)
 	}
-	slices.SortFunc(all, func(a, b *entry) int { return cmp.Compare(a.beat.VM.Name, b.beat.VM.Name) })
-	return all
+	slices.SortFunc(t.order, func(a, b *entry) int { return cmp.Compare(a.beat.VM.Name, b.beat.VM.Name) })
+	return t.order
 }
 
 func vms(es []*entry) []sassafrastray.VM {
