Tick keepers every 10 ms, and tell the mover who may lead

Cause: keepers ask for a tick each 10 ms (they free held slots and drop late requests then) and got one each 100 ms; the mover was never told the members, so every VM thought itself the first to lead a move.

--- a/internal/fleet/vm/publish.go
+++ b/internal/fleet/vm/publish.go
@@ -1,12 +1,14 @@
 package vm
 
 import (
+	"slices"
 	"time"
 
 	"sassafrastray"
 	"sassafrastray/internal/limit/place"
 	"sassafrastray/internal/limit/quota"
 	"sassafrastray/internal/rollout/evidence"
+	"sassafrastray/internal/rollout/move"
 	"sassafrastray/internal/traffic/entry"
 	"sassafrastray/internal/traffic/keeper"
 	"sassafrastray/internal/traffic/lookup"
@@ -88,6 +90,7 @@
 		return nil, nil
 	})
 	v.metrics.members.Set(float64(len(live)))
+	v.nameLeaders(live, now)
 	v.handler.Update(&entry.Snapshot{
 		Config: c, Routes: v.conf.routes, Keys: v.conf.keys,
 		Lookup: v.lookups(seen, region),
@@ -96,6 +99,19 @@
 	})
 }
 
+// nameLeaders tells the mover which VMs may lead, when they have changed.
+func (v *VM) nameLeaders(live []keeper.Member, now time.Time) {
+	names := make([]sassafrastray.VMName, len(live))
+	for i, m := range live {
+		names[i] = m.VM
+	}
+	slices.Sort(names)
+	if !slices.Equal(names, v.leaders) {
+		v.leaders = names
+		v.stepMoves(move.Members{VMs: names}, now)
+	}
+}
+
 // weight is a VM's share of the callers among its neighbours. A VM that is not
 // ready is named only if no other is.
 func weight(ready bool) int {
--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -36,6 +36,7 @@
 
 const (
 	tickEvery  = 100 * time.Millisecond
+	queueEvery = 10 * time.Millisecond
 	beatEvery  = 500 * time.Millisecond
 	listEvery  = 2 * time.Second
 	probeEvery = time.Second
@@ -116,6 +117,8 @@
 		answers   *lookup.Snapshot
 		answersOf *sassafrastray.Config
 		named     []lookup.Member
+		// leaders are the VMs that may lead moves, as last told to the mover.
+		leaders []sassafrastray.VMName
 		probing   map[sassafrastray.BackendName]bool
 	}
 )
@@ -199,8 +202,9 @@
 // control runs tasks and ticks until the VM stops.
 func (v *VM) control() {
 	defer v.loops.Done()
-	t := time.NewTicker(tickEvery)
+	t, q := time.NewTicker(tickEvery), time.NewTicker(queueEvery)
 	defer t.Stop()
+	defer q.Stop()
 	for {
 		select {
 		case <-v.ctx.Done():
@@ -213,6 +217,8 @@
 			if now := v.clock.Now(); v.every("lend", lendEvery, now) {
 				v.lend(now)
 			}
+		case <-q.C:
+			v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) { return k.Tick(now) })
 		case <-t.C:
 			v.tick(v.clock.Now())
 		}
@@ -248,7 +254,6 @@
 
 // tick does what time brings.
 func (v *VM) tick(now time.Time) {
-	v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) { return k.Tick(now) })
 	if v.every("list", listEvery, now) {
 		v.readList()
 	}
