--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -119,7 +119,7 @@
 		named     []lookup.Member
 		// leaders are the VMs that may lead moves, as last told to the mover.
 		leaders []sassafrastray.VMName
-		probing   map[sassafrastray.BackendName]bool
+		probing map[sassafrastray.BackendName]bool
 	}
 )
 
