Share slot time between teams, not requests

Ruled out: charging the true time when a request ends. Until then a team could start many long requests for nothing.

Change: a request costs the measured time of its route, in means of the pool, within a factor of 32. An estimate without samples is halved after two seconds and twice its own time, because routes with long requests have samples further apart than two seconds.

Conclusion: the fair share is one of what is scarce.

--- a/internal/traffic/keeper/dispatch.go
+++ b/internal/traffic/keeper/dispatch.go
@@ -20,7 +20,7 @@
 		return Outcome{Kind: Refused, Reason: k.absent()}
 	}
 	if b := k.pick(p, r.Idempotent, r.Exclude, now); b != nil && (p.queued == 0 || !k.usable(p, now)) {
-		p.charge(p.team(r.Team, r.Weight))
+		p.charge(p.team(r.Team, r.Weight), p.cost(r.Route))
 		k.dispatch(r.ID, p, b, r.Route, now)
 		return Outcome{Kind: Dispatch, Backend: b.name, Reason: sassafrastray.ReasonOK}
 	}
@@ -142,7 +142,7 @@
 		if it == nil {
 			return
 		}
-		p.charge(it.team)
+		p.charge(it.team, p.cost(it.route))
 		p.remove(it)
 		it.team.started(now)
 		delete(k.queued, it.id)
--- a/internal/traffic/keeper/pool.go
+++ b/internal/traffic/keeper/pool.go
@@ -9,8 +9,11 @@
 const (
 	// smoothing is the weight of one sample in a moving mean.
 	smoothing = 1.0 / 16
-	// estimateAge is how long an estimate lasts without a sample.
+	// estimateAge is how long an estimate lasts without a sample, beyond
+	// twice its own time.
 	estimateAge = 2 * time.Second
+	// costBound bounds a route's cost, up and down.
+	costBound = 32
 	// standing is how long a queue may last before its waits are bounded to
 	// standingWaits service times. A longer queue serves no more requests.
 	standing      = time.Second
@@ -85,7 +88,7 @@
 // route whose estimate is above its deadlines would be refused for ever.
 func (p *pool) forget(now time.Time) {
 	for route, e := range p.routes {
-		if now.Sub(e.at) < estimateAge {
+		if now.Sub(e.at) < estimateAge+2*time.Duration(e.mean) {
 			continue
 		}
 		if e.mean /= 2; e.mean < mean(time.Millisecond) {
@@ -101,6 +104,17 @@
 	return time.Duration(p.routes[route].mean)
 }
 
+// cost is the slot time of a request of the route, in means of the pool, or 1
+// if unknown. Teams share slot time, not requests, so that one with slow
+// requests does not take the slots of the others.
+func (p *pool) cost(route sassafrastray.RouteName) float64 {
+	r := p.routes[route].mean
+	if r == 0 || p.service == 0 {
+		return 1
+	}
+	return min(costBound, max(1.0/costBound, float64(r/p.service)))
+}
+
 // panicking reports whether most backend servers look bad, so that the cause
 // is probably not with them.
 func (p *pool) panicking() bool {
--- a/internal/traffic/keeper/queue.go
+++ b/internal/traffic/keeper/queue.go
@@ -21,8 +21,8 @@
 	}
 
 	// team is the queue of one team's requests, in the order of arrival.
-	// Its tags are those of start-time fair queueing, in requests divided by
-	// the weight.
+	// Its tags are those of start-time fair queueing, in costs of requests
+	// divided by the weight.
 	team struct {
 		pool       *pool
 		name       sassafrastray.TeamName
@@ -51,12 +51,12 @@
 }
 
 // charge advances the tags for a request of t that starts.
-func (p *pool) charge(t *team) {
+func (p *pool) charge(t *team, cost float64) {
 	if t.queued == 0 {
 		t.start = max(p.virtual, t.finish)
 	}
 	p.virtual = max(p.virtual, t.start)
-	t.finish = t.start + 1/t.weight
+	t.finish = t.start + cost/t.weight
 	t.start = t.finish
 }
 
