Do not go back to a keeper that can't serve a request

Cause: a keeper that refused because it keeps nothing for a request told a wait of zero, which the steps of a choice took for the shortest wait.

Ruled out: leaving it to callers to stop; each would need the same rule.

Change: such a target tells choice.Never. The second target is then asked without a bound on the wait, and the first is not asked again. TestOffer lists the steps.

Conclusion: one less useless hop.

--- a/internal/traffic/choice/choice.go
+++ b/internal/traffic/choice/choice.go
@@ -7,6 +7,7 @@
 package choice
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -30,6 +31,9 @@
 	None Reason = "none"
 )
 
+// Never is the wait at a VM that can't serve the request at all.
+const Never = time.Duration(math.MaxInt64)
+
 const (
 	// horizon is the age at which a figure tells of no headroom any more.
 	horizon = 3 * time.Second
@@ -83,21 +87,24 @@
 // waits are what the targets of the earlier steps told when they refused. The
 // first target is asked for a slot, or a wait that is no longer than the way
 // to another; the second for a shorter wait than the first one told; then the
-// better of the two takes the request as long as the deadline allows.
+// better of the two takes the request as long as the deadline allows. A target
+// that refused for another reason than the wait told Never.
 func (c Choice) Offer(n int, waits [2]time.Duration) (Offer, bool) {
 	switch {
 	case n == 0 && c.Second.VM == "":
 		return Offer{Target: c.Target}, true
 	case n == 0:
 		return Offer{Target: c.Target, Patience: hop}, true
+	case n == 1 && c.Second.VM != "" && waits[0] == Never:
+		return Offer{Target: c.Second}, true
 	case n == 1 && c.Second.VM != "":
 		return Offer{Target: c.Second, Patience: max(hop, waits[0])}, true
-	case n == 2 && waits[1] < waits[0]:
+	case n != 2 || waits[0] == Never:
+		return Offer{}, false
+	case waits[1] < waits[0]:
 		return Offer{Target: c.Second}, true
-	case n == 2:
-		return Offer{Target: c.Target}, true
 	}
-	return Offer{}, false
+	return Offer{Target: c.Target}, true
 }
 
 // Sent counts a request that goes to the target. Each Sent needs one Done.
--- a/internal/traffic/choice/choice_test.go
+++ b/internal/traffic/choice/choice_test.go
@@ -209,6 +209,36 @@
 	}
 }
 
+// The steps of a choice by what its targets told.
+func TestOffer(t *testing.T) {
+	const ms = time.Millisecond
+	both := Choice{Target: Target{VM: "a"}, Second: Target{VM: "b"}}
+	one := Choice{Target: Target{VM: "a"}}
+	for _, c := range []struct {
+		choice   Choice
+		n        int
+		waits    [2]time.Duration
+		vm       sassafrastray.VMName
+		patience time.Duration
+	}{
+		{one, 0, [2]time.Duration{}, "a", 0},
+		{one, 1, [2]time.Duration{9 * ms}, "", 0},
+		{both, 0, [2]time.Duration{}, "a", hop},
+		{both, 1, [2]time.Duration{9 * ms}, "b", 9 * ms},
+		{both, 1, [2]time.Duration{Never}, "b", 0},
+		{both, 2, [2]time.Duration{9 * ms, 20 * ms}, "a", 0},
+		{both, 2, [2]time.Duration{9 * ms, 8 * ms}, "b", 0},
+		{both, 2, [2]time.Duration{9 * ms, Never}, "a", 0},
+		{both, 2, [2]time.Duration{Never, 8 * ms}, "", 0},
+		{both, 3, [2]time.Duration{9 * ms, 8 * ms}, "", 0},
+	} {
+		o, ok := c.choice.Offer(c.n, c.waits)
+		if o.VM != c.vm || o.Patience != c.patience || ok != (c.vm != "") {
+			t.Errorf("step %d after %v: %s %v %t", c.n, c.waits, o.VM, o.Patience, ok)
+		}
+	}
+}
+
 // Between VMs that look the same, one figure does not draw all requests to one.
 func TestSpread(t *testing.T) {
 	in, now := benchInput(), time.Unix(1e9, 0)
--- a/internal/traffic/choice/policy_test.go
+++ b/internal/traffic/choice/policy_test.go
@@ -156,7 +156,7 @@
 			starts, drops := k.Tick(m.now)
 			p.start(starts)
 			for _, d := range drops {
-				p.refused(p.waiting[d.ID], 0)
+				p.refused(p.waiting[d.ID], choice.Never)
 			}
 		})
 		m.after(modelBeat*time.Duration(vm)/modelVMs, func() {
@@ -285,7 +285,7 @@
 	p.m.run(r, func(ok bool) {
 		if !ok {
 			p.start(k.Done(uint64(r.id), keeper.End{Kind: keeper.Shed}, p.m.now))
-			p.refused(r, 0)
+			p.refused(r, choice.Never)
 			return
 		}
 		p.start(k.Done(uint64(r.id), keeper.End{Kind: keeper.OK}, p.m.now))
