Offer a request to the second choice before it waits at the first

Cause: the choice's protocol (ask for a slot, then compare told waits) was not used; a request queued at its first choice although the second had slots. Change: try walks the offers with the patience of each step; waits cross the inner protocol in microseconds.

--- a/internal/fleet/peer/message.go
+++ b/internal/fleet/peer/message.go
@@ -25,20 +25,22 @@
 // Headers of the inner protocol. A caller's headers with the prefix are
 // dropped, so none of them can come from a caller.
 const (
-	Prefix        = "Inner-"
-	TokenHeader   = "Inner-Token"
-	FromHeader    = "Inner-From"
-	DomainHeader  = "Inner-Domain"
-	ServiceHeader = "Inner-Service"
-	RouteHeader   = "Inner-Route"
-	VersionHeader = "Inner-Version"
-	TeamHeader    = "Inner-Team"
-	KeyHeader     = "Inner-Key"     // digest of the caller's key
-	TimeoutHeader = "Inner-Timeout" // milliseconds left
-	ConfigHeader  = "Inner-Config"  // number of the sender's configuration
-	PathHeader    = "Inner-Path"    // the caller's path and query
-	AvoidHeader   = "Inner-Avoid"   // backend servers not to use again
-	BackendHeader = "Inner-Backend" // backend server that was tried
+	Prefix         = "Inner-"
+	TokenHeader    = "Inner-Token"
+	FromHeader     = "Inner-From"
+	DomainHeader   = "Inner-Domain"
+	ServiceHeader  = "Inner-Service"
+	RouteHeader    = "Inner-Route"
+	VersionHeader  = "Inner-Version"
+	TeamHeader     = "Inner-Team"
+	KeyHeader      = "Inner-Key"      // digest of the caller's key
+	TimeoutHeader  = "Inner-Timeout"  // milliseconds left
+	PatienceHeader = "Inner-Patience" // microseconds that it accepts to wait, 0 for any
+	WaitHeader     = "Inner-Wait"     // expected wait in microseconds, on a refusal
+	ConfigHeader   = "Inner-Config"   // number of the sender's configuration
+	PathHeader     = "Inner-Path"     // the caller's path and query
+	AvoidHeader    = "Inner-Avoid"    // backend servers not to use again
+	BackendHeader  = "Inner-Backend"  // backend server that was tried
 )
 
 type (
--- a/internal/traffic/entry/forward.go
+++ b/internal/traffic/entry/forward.go
@@ -87,6 +87,7 @@
 	d.Set(peer.KeyHeader, string(in.digest))
 	setInt(d, peer.ConfigHeader, in.config)
 	setInt(d, peer.TimeoutHeader, in.left(h.Clock.Now()))
+	setInt(d, peer.PatienceHeader, in.patience.Microseconds())
 	if len(in.avoid) > 0 {
 		names := make([]string, len(in.avoid))
 		for i, b := range in.avoid {
@@ -102,8 +103,8 @@
 		reason: sassafrastray.Reason(resp.Header.Peek(reasonHeader)),
 		result: sassafrastray.Result(resp.Header.Peek(resultHeader)),
 	}
-	if s, err := strconv.Atoi(string(resp.Header.Peek(fasthttp.HeaderRetryAfter))); err == nil {
-		r.wait = time.Duration(s) * time.Second
+	if us, err := strconv.ParseInt(string(resp.Header.Peek(peer.WaitHeader)), 10, 64); err == nil {
+		r.wait = time.Duration(us) * time.Microsecond
 	}
 	if statuses[r.reason] == 0 || r.result != sassafrastray.NotRun {
 		r.result = sassafrastray.Unknown
@@ -154,6 +155,9 @@
 		return notRun(sassafrastray.ReasonVM, "no timeout in a forwarded request")
 	}
 	in.deadline = in.arrived.Add(time.Duration(ms) * time.Millisecond)
+	if us, err := strconv.ParseInt(string(d.Peek(peer.PatienceHeader)), 10, 64); err == nil {
+		in.patience = time.Duration(us) * time.Microsecond
+	}
 	if avoid := d.Peek(peer.AvoidHeader); len(avoid) > 0 {
 		for n := range strings.SplitSeq(string(avoid), ",") {
 			in.avoid = append(in.avoid, sassafrastray.BackendName(n))
--- a/internal/traffic/entry/handler.go
+++ b/internal/traffic/entry/handler.go
@@ -247,8 +247,10 @@
 // refuse answers in the system's own name.
 func (h *Handler) refuse(in *inbound, r *refusal) {
 	r.write(in.ctx, in.id)
-	if in.tried != "" && in.origin != "" {
-		in.ctx.Response.Header.Set(peer.BackendHeader, string(in.tried))
+	if in.origin != "" {
+		h := &in.ctx.Response.Header
+		h.Set(peer.BackendHeader, string(in.tried))
+		h.Set(peer.WaitHeader, strconv.FormatInt(r.wait.Microseconds(), 10))
 	}
 	if in.large != nil && !in.large.done {
 		in.ctx.SetConnectionClose()
--- a/internal/traffic/entry/inbound.go
+++ b/internal/traffic/entry/inbound.go
@@ -39,6 +39,8 @@
 		config   int64 // number of the configuration that admitted it
 		arrived  time.Time
 		deadline time.Time
+		// patience is the longest wait in a keeper's queue; zero means any.
+		patience time.Duration
 		avoid    []sassafrastray.BackendName
 		// origin is the failure domain of the VM that forwarded the request,
 		// or empty.
--- a/internal/traffic/entry/kept.go
+++ b/internal/traffic/entry/kept.go
@@ -55,7 +55,8 @@
 func (h *Handler) ask(in *inbound) keeper.Request {
 	return keeper.Request{
 		Service: in.service.Name, Version: in.version, Team: in.team, Weight: in.weight,
-		Route: in.route.Name, Deadline: in.deadline, Idempotent: in.route.Idempotent, Exclude: in.avoid,
+		Route: in.route.Name, Deadline: in.deadline, Idempotent: in.route.Idempotent,
+		Patience: in.patience, Exclude: in.avoid,
 	}
 }
 
--- a/internal/traffic/entry/steer.go
+++ b/internal/traffic/entry/steer.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math/rand/v2"
+	"time"
 
 	"sassafrastray"
 	"sassafrastray/internal/limit/pace"
@@ -24,12 +25,11 @@
 func (h *Handler) steer(in *inbound, s *Snapshot) *refusal {
 	h.Retry.request(in.service.Name)
 	in.version = version(s.Splits[in.service.Name], in.service)
-	var refused *choice.Target
 	maybe := false
 	for number := 1; ; number++ {
 		s = h.snap.Load()
 		in.config = s.Config.Number
-		r := h.try(in, s, &refused)
+		r := h.try(in, s)
 		if r == nil {
 			return nil
 		}
@@ -56,22 +56,49 @@
 	}
 }
 
-// try chooses a VM and sends the request there once.
-func (h *Handler) try(in *inbound, s *Snapshot, refused **choice.Target) *refusal {
+// try chooses a VM and offers it the request. If the VM would let it wait, the
+// second choice is asked too, and the better of the two takes it. These offers
+// are one try: none of them has reached a backend server but the last.
+func (h *Handler) try(in *inbound, s *Snapshot) *refusal {
 	c, ok := s.Choice.Pick(h.want(in), h.Clock.Now(), rand.New(shared{}))
-	t := c.Target
-	if ok && *refused != nil && (*refused).VM == t.VM && c.Second.VM != "" {
-		t = c.Second
-	}
 	h.Metrics.Choices.WithLabelValues(string(c.Reason)).Inc()
-	if h.Decision {
-		h.Log.Info("routing", "request", in.id, "service", in.service.Name, "route", in.route.Name, "team", in.team,
-			"version", in.version, "to", t.VM, "domain", t.Domain, "region", t.Region, "reason", c.Reason)
-	}
 	if !ok {
+		h.logChoice(in, c.Target, c.Reason)
 		return nowhere(c.Reason)
 	}
-	*refused = &t
+	var r *refusal
+	var waits [2]time.Duration
+	for n := 0; ; n++ {
+		o, more := c.Offer(n, waits)
+		if !more {
+			return r
+		}
+		h.logChoice(in, o.Target, c.Reason)
+		in.patience = o.Patience
+		r = h.offer(in, s, o.Target)
+		if r == nil || r.result != sassafrastray.NotRun || !in.repeatable() || n == len(waits) {
+			return r
+		}
+		switch r.reason {
+		case sassafrastray.ReasonBusy:
+			waits[n] = r.wait
+		case sassafrastray.ReasonVM, sassafrastray.ReasonLeaving, sassafrastray.ReasonBackend:
+			waits[n] = choice.Never
+		default:
+			return r
+		}
+	}
+}
+
+func (h *Handler) logChoice(in *inbound, t choice.Target, reason choice.Reason) {
+	if h.Decision {
+		h.Log.Info("routing", "request", in.id, "service", in.service.Name, "route", in.route.Name, "team", in.team,
+			"version", in.version, "to", t.VM, "domain", t.Domain, "region", t.Region, "reason", reason)
+	}
+}
+
+// offer sends the request to the chosen VM.
+func (h *Handler) offer(in *inbound, s *Snapshot, t choice.Target) *refusal {
 	t.Sent()
 	defer t.Done()
 	if t.VM == h.Self.Name {
@@ -96,7 +123,7 @@
 	if n := in.ctx.Request.Header.ContentLength(); n > 0 {
 		bytes += int64(n)
 	}
-	return choice.Request{Service: in.service.Name, Version: in.version, Bytes: bytes}
+	return choice.Request{Service: in.service.Name, Version: in.version, Team: in.team, Bytes: bytes}
 }
 
 // version draws the version that a request goes to.
