Take the quota's token right before the first byte leaves

Cause: scenarios of processes found teams above their burst by up to 9% of a request as backend servers see it (rate 1.2 needed a burst of 1.092, above 1). The token was taken before the wait for a connection, so requests that took their tokens apart left together. Ruled out: a smaller share of the burst (it would refuse in-rate requests). Change: the exchange asks Ready once its connection stands; a token older than 2 ms is given back and taken anew, and without one the request goes back to wait for quota.

--- a/internal/traffic/entry/inbound.go
+++ b/internal/traffic/entry/inbound.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/limit/quota"
 	"sassafrastray/internal/traffic/upstream"
 )
 
@@ -46,6 +47,11 @@
 		// or empty.
 		origin sassafrastray.DomainName
 
+		// stamp is the token of the team's quota that the request holds, and
+		// taken when it got it; the zero time means that it holds none.
+		stamp quota.Stamp
+		taken time.Time
+
 		small []byte
 		large *requestBody
 		// reported is set for a hop's answer that says which backend server
--- a/internal/traffic/entry/kept.go
+++ b/internal/traffic/entry/kept.go
@@ -12,9 +12,15 @@
 	"sassafrastray/internal/traffic/upstream"
 )
 
-// maxTokenWait is the longest that a request waits for its team's quota in
-// place of a refusal.
-const maxTokenWait = 400 * time.Millisecond
+const (
+	// maxTokenWait is the longest that a request waits for its team's quota
+	// in place of a refusal.
+	maxTokenWait = 400 * time.Millisecond
+
+	// tokenAge is how long before its first byte a request may have taken its
+	// token.
+	tokenAge = 2 * time.Millisecond
+)
 
 // kept answers a request from a backend server that this VM keeps. It returns
 // nil if the answer is under way in the request's context.
@@ -24,31 +30,31 @@
 		if r := h.gone(in); r != nil {
 			return r
 		}
-		stamp, r := h.token(in, giveUp)
-		if r != nil {
+		if r := h.token(in, giveUp); r != nil {
 			return r
 		}
 		t := h.Gate.offer(h.ask(in))
+		backend := t.outcome.Backend
+		if t.outcome.Kind != keeper.Dispatch {
+			// The token counts from the dispatch, so that requests which waited
+			// together don't pass the burst when they leave together.
+			h.refund(in)
+		}
 		switch t.outcome.Kind {
 		case keeper.Refused:
-			h.refund(in, stamp)
 			r := notRun(t.outcome.Reason, "")
 			r.wait = t.outcome.Wait
 			return r
-		case keeper.Dispatch:
-			return h.dispatch(in, t, t.outcome.Backend)
+		case keeper.Queued:
+			var r *refusal
+			if backend, r = h.queue(in, t); r != nil {
+				return r
+			}
 		}
-		// The token counts from the dispatch, so that requests which waited
-		// together don't pass the burst when they leave together.
-		h.refund(in, stamp)
-		backend, r := h.queue(in, t)
-		if r != nil {
+		r, again := h.dispatch(in, t, backend)
+		if !again {
 			return r
 		}
-		if h.take(in).OK {
-			return h.dispatch(in, t, backend)
-		}
-		h.Gate.done(t.id, keeper.End{Kind: keeper.NotSent})
 	}
 }
 
@@ -65,36 +71,62 @@
 	return string(s) + "/" + string(t)
 }
 
+// take takes a token of the team's quota.
 func (h *Handler) take(in *inbound) quota.Verdict {
+	now := h.Clock.Now()
 	if in.route.Open {
+		in.taken = now
 		return quota.Verdict{OK: true}
 	}
-	return h.Quotas.Take(QuotaKey(in.service.Name, in.team), 1, h.Clock.Now())
+	v := h.Quotas.Take(QuotaKey(in.service.Name, in.team), 1, now)
+	in.hold(v, now)
+	return v
 }
 
-func (h *Handler) refund(in *inbound, s quota.Stamp) {
-	if !in.route.Open {
-		h.Quotas.Refund(QuotaKey(in.service.Name, in.team), 1, s, h.Clock.Now())
+func (in *inbound) hold(v quota.Verdict, now time.Time) {
+	if v.OK {
+		in.stamp, in.taken = v.Stamp, now
 	}
 }
 
+// refund gives the request's token back, if it holds one.
+func (h *Handler) refund(in *inbound) {
+	if !in.taken.IsZero() && !in.route.Open {
+		h.Quotas.Refund(QuotaKey(in.service.Name, in.team), 1, in.stamp, h.Clock.Now())
+	}
+	in.taken = time.Time{}
+}
+
 // token takes a token of the team's quota, waiting a little for one that is
 // about to come.
-func (h *Handler) token(in *inbound, giveUp time.Time) (quota.Stamp, *refusal) {
-	v := h.take(in)
-	for !v.OK {
+func (h *Handler) token(in *inbound, giveUp time.Time) *refusal {
+	for v := h.take(in); !v.OK; {
 		now := h.Clock.Now()
 		if v.Wait <= 0 || now.Add(v.Wait).After(giveUp) || now.Add(v.Wait).After(in.deadline) {
 			r := notRun(sassafrastray.ReasonQuota, string(in.team))
 			r.wait = max(v.Wait, time.Second)
-			return v.Stamp, r
+			return r
 		}
 		if !in.sleep(v.Wait) {
-			return v.Stamp, notRun(sassafrastray.ReasonGone, "")
+			return notRun(sassafrastray.ReasonGone, "")
 		}
-		v = h.Quotas.Again(QuotaKey(in.service.Name, in.team), 1, v.Stamp, h.Clock.Now())
+		now = h.Clock.Now()
+		v = h.Quotas.Again(QuotaKey(in.service.Name, in.team), 1, v.Stamp, now)
+		in.hold(v, now)
 	}
-	return v.Stamp, nil
+	return nil
+}
+
+// charge makes sure, right before the first byte is sent, that the request
+// holds a token that it took just now. A token that was taken earlier, before
+// a wait in the queue or for a connection, would let requests bunch up beyond
+// the burst.
+func (h *Handler) charge(in *inbound) bool {
+	if !in.taken.IsZero() && h.Clock.Now().Sub(in.taken) <= tokenAge {
+		return true
+	}
+	h.refund(in)
+	return h.take(in).OK
 }
 
 // sleep waits, and reports false if the caller hung up meanwhile.
@@ -135,17 +167,19 @@
 	return nil
 }
 
-// dispatch sends the request to the backend server whose slot it has.
-func (h *Handler) dispatch(in *inbound, t ticket, name sassafrastray.BackendName) *refusal {
+// dispatch sends the request to the backend server whose slot it has. It asks
+// for another round if the team's quota was used up meanwhile.
+func (h *Handler) dispatch(in *inbound, t ticket, name sassafrastray.BackendName) (r *refusal, again bool) {
 	s := h.snap.Load()
 	b := backend(s.Config, in.service.Name, name)
-	r := h.recheck(in)
+	r = h.recheck(in)
 	if r == nil && b == nil {
 		r = notRun(sassafrastray.ReasonBackend, "the backend server is gone")
 	}
 	if r != nil {
 		h.Gate.done(t.id, keeper.End{Kind: keeper.NotSent})
-		return r
+		h.refund(in)
+		return r, false
 	}
 	in.tried = name
 	start := h.Clock.Now()
@@ -156,12 +190,22 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	h.outbound(in, req)
 	call := upstream.Call{Address: b.Address, Proved: !in.route.Idempotent, Deadline: in.deadline, Progress: progress}
+	call.Ready = func() bool { return h.charge(in) }
 	in.call(&call, req)
 	x := h.Pool.Start(call)
 	in.attach(x)
 	out := x.Do(req, resp)
 	fasthttp.ReleaseRequest(req)
-	return h.conclude(in, t, b, resp, out, start)
+	if out.Failure == upstream.Declined {
+		fasthttp.ReleaseResponse(resp)
+		h.Gate.done(t.id, keeper.End{Kind: keeper.NotSent})
+		return nil, true
+	}
+	if !out.Sent {
+		h.refund(in)
+	}
+	in.taken = time.Time{}
+	return h.conclude(in, t, b, resp, out, start), false
 }
 
 func placed(t ticket) string {
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -22,6 +22,7 @@
 	Crossed   Failure = "crossed"   // the answer belongs to another request
 	Aborted   Failure = "aborted"   // Abort was called
 	Body      Failure = "body"      // the request's own body could not be read
+	Declined  Failure = "declined"  // Ready said no
 )
 
 const (
@@ -51,6 +52,9 @@
 		// itself, and Size its length in bytes, or -1 if that is unknown.
 		Body io.Reader
 		Size int
+		// Ready, if set, is asked when the connection stands and before the
+		// first byte is written. If it says no, nothing is sent.
+		Ready func() bool
 	}
 
 	// Exchange is one request and its answer. It is used once.
@@ -121,6 +125,10 @@
 		c.Close()
 		return Outcome{Failure: Aborted}
 	}
+	if e.call.Ready != nil && !e.call.Ready() {
+		e.release(c, true)
+		return Outcome{Failure: Declined}
+	}
 	// The answer is read into a response of its own, because the stream that
 	// fasthttp attaches to a response can't be wrapped in place.
 	raw := fasthttp.AcquireResponse()
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -87,7 +88,7 @@
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
 			t.Parallel()
 			s := &script{
-				t: t, dir: t.TempDir(), net: 40 + i,
+				t: t, dir: workDir(t), net: 40 + i,
 				procs: make(map[string]*exec.Cmd), exits: make(map[string]chan error),
 			}
 			defer s.stop()
@@ -97,6 +98,23 @@
 	}
 }
 
+// workDir returns the script's directory. SCENARIO_DIR keeps it after the run,
+// for those who look for the cause of a failure.
+func workDir(t *testing.T) string {
+	keep := os.Getenv("SCENARIO_DIR")
+	if keep == "" {
+		return t.TempDir()
+	}
+	dir, err := filepath.Abs(filepath.Join(keep, filepath.Base(t.Name())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
 // local puts the example's loopback addresses into the script's own networks.
 func (s *script) local(text string) string {
 	text = strings.ReplaceAll(text, "127.0.0.0/8", "127.0.0.0/24")
@@ -219,6 +237,16 @@
 	return json.NewDecoder(r.Body).Decode(v)
 }
 
+// save keeps what the backend servers' stand-in says.
+func (s *script) save(page string) {
+	r, err := http.Get("http://" + s.local("127.0.0.1:7101") + "/control/" + page)
+	s.must(err)
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	s.must(err)
+	s.write(page+".json", string(b))
+}
+
 func (s *script) put(method, url, body string) {
 	r, err := http.NewRequest(method, url, strings.NewReader(body))
 	s.must(err)
@@ -386,6 +414,7 @@
 
 // judge reads the load generator's report.
 func (s *script) judge() {
+	s.save("executed")
 	b, err := os.ReadFile(filepath.Join(s.dir, "report.json"))
 	s.must(err)
 	var r report.Report
