--- a/internal/limit/place/answer.go
+++ b/internal/limit/place/answer.go
@@ -61,8 +61,8 @@
 			return append(out, m.claim(index, 0, now)...)
 		}
 	}
-	for index, s := range m.seen {
-		if index < m.places && used[index] && m.abandoned(s, now) {
+	for index := range m.places {
+		if s := m.seen[index]; m.abandoned(s, now) {
 			return append(out, m.claim(index, s.version, now)...)
 		}
 	}
--- a/internal/limit/quota/borrower.go
+++ b/internal/limit/quota/borrower.go
@@ -17,7 +17,7 @@
 	// for before other VMs are asked.
 	soonEnough = 50 * time.Millisecond
 	// keepAtLeast is how long a loan is kept although demand has fallen.
-	keepAtLeast = 150 * time.Millisecond
+	keepAtLeast = 40 * time.Millisecond
 	// asksAtOnce bounds the asks into which a need for tokens is split, so
 	// that a lender can serve it piece by piece.
 	asksAtOnce = 8
@@ -215,7 +215,8 @@
 	}
 }
 
-// askTokens asks near VMs that seem to have tokens, and then the hub.
+// askTokens asks near VMs that seem to have tokens, then the hub, and all
+// others if the hub is unknown or has just declined.
 func (b *Book) askTokens(e *entry, now time.Time) {
 	unmet := e.unmet(now)
 	for _, p := range e.pending {
@@ -224,33 +225,23 @@
 	if unmet <= e.rate*soonEnough.Seconds() {
 		return
 	}
-	for _, n := range b.peers {
-		s := n.spare[e.limit.Key]
-		if unmet <= 0 || n.distance > 1 {
-			break
-		}
-		if s == nil || s.Tokens < 1 || n == e.hub || !e.mayAsk(n, false, now) {
-			continue
-		}
-		need := min(int64(math.Ceil(unmet)), int64(s.Tokens))
-		b.send(e, n, Ask{Need: need}, now)
-		s.Tokens -= float64(need)
-		unmet -= float64(need)
-	}
+	unmet = b.askPeers(e, unmet, 1, now)
 	if e.hub != nil && !now.Before(e.backoff[backoffKey{vm: e.hub.Name}].until) {
-		need := int64(math.Ceil(max(0, unmet)))
-		piece := (need + asksAtOnce - 1) / asksAtOnce
-		for ; need > 0; need -= piece {
-			b.send(e, e.hub, Ask{Need: min(need, piece)}, now)
-		}
+		b.askHub(e, unmet, now)
 		return
 	}
+	b.askPeers(e, unmet, 2, now)
+}
+
+// askPeers asks the VMs up to a distance for the tokens they seem to have, and
+// returns what is still unmet.
+func (b *Book) askPeers(e *entry, unmet float64, distance int, now time.Time) float64 {
 	for _, n := range b.peers {
-		s := n.spare[e.limit.Key]
-		if unmet <= 0 {
-			return
+		if unmet <= 0 || n.distance > distance {
+			break
 		}
-		if s == nil || s.Tokens < 1 || !e.mayAsk(n, false, now) {
+		s := n.spare[e.limit.Key]
+		if s == nil || s.Tokens < 1 || n == e.hub || !e.mayAsk(n, false, now) {
 			continue
 		}
 		need := min(int64(math.Ceil(unmet)), int64(s.Tokens))
@@ -258,6 +249,16 @@
 		s.Tokens -= float64(need)
 		unmet -= float64(need)
 	}
+	return unmet
+}
+
+// askHub asks the hub in several pieces, so that it can serve a part.
+func (b *Book) askHub(e *entry, unmet float64, now time.Time) {
+	need := int64(math.Ceil(max(0, unmet)))
+	piece := (need + asksAtOnce - 1) / asksAtOnce
+	for ; need > 0; need -= piece {
+		b.send(e, e.hub, Ask{Need: min(need, piece)}, now)
+	}
 }
 
 // askUnits asks the nearest VMs that have units to spare. The hub asks all,
--- a/internal/limit/quota/demand.go
+++ b/internal/limit/quota/demand.go
@@ -70,6 +70,21 @@
 	w.total += n
 }
 
+// remove uncounts n tokens, because a Take succeeded: the caller gives them to
+// the request that waits longest.
+func (w *waiting) remove(n float64, now time.Time) {
+	if w.sum(now) == 0 {
+		return
+	}
+	for i := int64(0); i < slots && n > 0; i++ {
+		s := &w.slot[(w.first+i)%slots]
+		part := min(n, *s)
+		*s -= part
+		w.total -= part
+		n -= part
+	}
+}
+
 // measure updates the demand from the arrivals since the last Tick.
 func (e *entry) measure(elapsed time.Duration) {
 	if elapsed <= 0 {
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -188,6 +188,7 @@
 	e.advance(now)
 	if e.tokens >= n {
 		e.take(n)
+		e.waiting.remove(n, now)
 		return Verdict{OK: true, Known: true, Stamp: Stamp{taken: now, spill: e.spill}}
 	}
 	wait := e.delay(n, now, b.opt)
@@ -199,6 +200,19 @@
 	return Verdict{Wait: wait, Known: true}
 }
 
+// Ready tells whether a Take would succeed, without counting as demand. After
+// Receive and Tick, a caller with waiting requests uses it to serve them
+// before they try again by themselves.
+func (b *Book) Ready(key string, n float64, now time.Time) bool {
+	e := b.entries[key]
+	if e == nil || e.removed {
+		return false
+	}
+	b.check(now)
+	e.advance(now)
+	return e.tokens >= n
+}
+
 // check suspends the base share if the control loop was paused, and starts
 // its use when the quarantine is over.
 func (b *Book) check(now time.Time) {
