--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -120,12 +120,8 @@
 		return s.call("DELETE", "executed", "")
 	case "executed":
 		return s.executed()
-	case "sleep":
-		d, err := time.ParseDuration(rest)
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		time.Sleep(d)
+	case "used":
+		s.used(strings.Fields(rest))
 		return ""
 	case "start":
 		name, command, _ := strings.Cut(rest, " ")
@@ -140,6 +136,23 @@
 	}
 }
 
+// used waits until so many of a server's slots are used.
+func (s *script) used(f []string) {
+	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		resp, err := s.conn("health").Get(s.servers[f[0]] + "/health")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		var h server.Health
+		err = json.NewDecoder(resp.Body).Decode(&h)
+		resp.Body.Close()
+		if err == nil && fmt.Sprint(h.Used) == f[1] {
+			return
+		}
+	}
+	s.t.Fatalf("%s never had %s slots used", f[0], f[1])
+}
+
 // conn returns the client of that name, which keeps its connection.
 func (s *script) conn(name string) *http.Client {
 	c := s.conns[name]
--- a/internal/standin/report/text.go
+++ b/internal/standin/report/text.go
@@ -90,7 +90,7 @@
 	fmt.Fprintf(w, "with a key: %d; for another team: %d\n", v.Keys, v.Teams)
 	for _, q := range v.Quotas {
 		if q.Needed > float64(q.Burst) {
-			fmt.Fprintf(w, "quota of %s at %s: rate %g, burst %d; needed %.1f\n", q.Team, q.Service, q.Rate, q.Burst, q.Needed)
+			fmt.Fprintf(w, "quota of %s at %s: rate %g, burst %d; needed %.2f\n", q.Team, q.Service, q.Rate, q.Burst, q.Needed)
 		}
 	}
 	for _, s := range v.Samples {
