Hear refusals that come before the body is sent

Real callers read what has arrived. The stand-in for backend servers in turn reset connections when it shed an upload, so that the shed answer was lost.

Ruled out: sizes that fit the sockets' buffers, with which the tests passed without the changes.

--- a/internal/standin/backend/handle.go
+++ b/internal/standin/backend/handle.go
@@ -24,6 +24,10 @@
 	headerLoad    = "Load"
 )
 
+// maxDrain bounds the part of a body in bytes that a server reads after it has
+// shed the request.
+const maxDrain = 8 << 20
+
 // execution is a request that has a slot.
 type execution struct {
 	host  *host
@@ -51,6 +55,7 @@
 			ctx.Response.Header.Set(headerShed, "1")
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			h.mark(ctx)
+			drain(ctx)
 			return
 		}
 		x.run(ctx)
@@ -200,6 +205,14 @@
 	}
 }
 
+// drain reads what is left of the body up to a bound. Without it the connection
+// would be reset while the client still sends, and the answer might be lost.
+func drain(ctx *fasthttp.RequestCtx) {
+	if r := ctx.RequestBodyStream(); r != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r, maxDrain))
+	}
+}
+
 // timeout reads how long the client waits.
 func timeout(ctx *fasthttp.RequestCtx) (time.Duration, bool) {
 	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(headerTimeout)), 10, 64)
