Count what a quota owes by number, not by request

The report picked the requests that its own bucket would admit at once; a system that lets requests wait admits others, and rightly so.

Ruled out: comparing totals alone; a surplus of one team would hide the want of another, so the sums are per team and service.

Change: Served and Denied in place of the counts by request; share and "in quota" follow from them.

Figures: the golden reports, in which each request outside is refused, did not change.

Conclusion: the measure now says what a team lacks of its quota.

--- a/internal/standin/report/report.go
+++ b/internal/standin/report/report.go
@@ -60,7 +60,8 @@
 	// slow ones.
 	Fairness struct {
 		Service sassafrastray.ServiceName `json:"service,omitempty"`
-		// Share is of the requests inside the quota that went well.
+		// Share is how many requests went well of those that the quota had
+		// room for.
 		Share Gap[float64]       `json:"share"`
 		P99   Gap[time.Duration] `json:"p99"`
 	}
--- a/internal/standin/report/spread.go
+++ b/internal/standin/report/spread.go
@@ -103,7 +103,7 @@
 		{"not sent", func(r *Report) float64 { return float64(r.Lag.Overloads) }},
 		{"worst share", func(r *Report) float64 { return r.Fairness[0].Share.Worst }},
 		{"median share", func(r *Report) float64 { return r.Fairness[0].Share.Median }},
-		{"refused inside quota", func(r *Report) float64 { return float64(r.Total.InsideRefused) }},
+		{"refused inside quota", func(r *Report) float64 { return float64(r.Total.Denied) }},
 		{"refused", func(r *Report) float64 { return float64(sum(r.Total.Refused)) }},
 		{"failed", func(r *Report) float64 { return float64(sum(r.Total.Failed)) }},
 		{"wrong", func(r *Report) float64 { return float64(r.Total.Wrong) }},
