Write a record that has gone again as it was

Cause: when a read found no object, the known version was forgotten, so that older news of the record could bring back an ended move.

Ruled out: forgetting the record too, which forgets outcomes.

Change: the record and its version are kept, and the next write expects an absent key.

--- a/internal/rollout/evidence/evidence_test.go
+++ b/internal/rollout/evidence/evidence_test.go
@@ -24,6 +24,9 @@
 		// uneven traffic fails by half on the first VM, which sends a larger
 		// share to the new version.
 		uneven bool
+		// keepers makes each backend server known to one VM alone. The
+		// first VM has none of the old version.
+		keepers bool
 	}
 
 	// behaviour is how a version answers at an age, in ticks.
@@ -116,11 +119,17 @@
 		share /= 5
 	}
 	if tr.rng.Float64() < share {
+		if tr.keepers {
+			vm = b % len(ls)
+		}
 		s := tr.new(t, r, b, tr.rng)
 		s.OK = s.OK && !broken
 		ls[vm].Add("stock", "v2", routeName(r), backendName(b), s, now)
 		return 1
 	}
+	if tr.keepers {
+		vm = 1 + b%(len(ls)-1)
+	}
 	s := tr.old(t, r, b, tr.rng)
 	s.OK = s.OK && !broken
 	ls[vm].Add("stock", "v1", routeName(r), "old", s, now)
@@ -194,15 +203,37 @@
 }
 
 func BenchmarkJudge(b *testing.B) {
-	steady := plain(0.02, 20, 1)
-	tr := traffic{rng: rand.New(rand.NewPCG(1, 2)), perTick: 40, share: 0.1, backends: 16, routes: 4, old: steady, new: steady}
-	ls := tr.ledgers(11)
-	for t := range 600 {
-		tr.second(ls, t)
+	for _, keepers := range []bool{false, true} {
+		b.Run(fmt.Sprint("keepers=", keepers), func(b *testing.B) {
+			steady := plain(0.02, 20, 1)
+			tr := traffic{
+				rng: rand.New(rand.NewPCG(1, 2)), perTick: 40, share: 0.1, backends: 16, routes: 4,
+				old: steady, new: steady, keepers: keepers,
+			}
+			ls := tr.ledgers(11)
+			for t := range 600 {
+				tr.second(ls, t)
+			}
+			now := epoch.Add(time.Minute)
+			b.ReportAllocs()
+			for b.Loop() {
+				ls[0].Judge("stock", "v1", "v2", now)
+			}
+		})
 	}
-	now := epoch.Add(time.Minute)
-	b.ReportAllocs()
-	for b.Loop() {
-		ls[0].Judge("stock", "v1", "v2", now)
+}
+
+// TestKeepers checks that versions are told apart where each VM knows only some
+// of the backend servers.
+func TestKeepers(t *testing.T) {
+	for _, failed := range []float64{0.02, 0.3} {
+		tr := traffic{
+			rng: rand.New(rand.NewPCG(1, 2)), perTick: 40, share: 0.1, backends: 8, routes: 4,
+			old: plain(0.02, 20, 1), new: plain(failed, 20, 1), keepers: true,
+		}
+		at, _, v := tr.run(3, 400)
+		if want := map[bool]Kind{false: Good, true: Bad}[failed > 0.1]; v.Kind != want || at > 100 {
+			t.Errorf("fails %v: %+v at %d, want %s", failed, v, at, want)
+		}
 	}
 }
--- a/internal/rollout/evidence/view.go
+++ b/internal/rollout/evidence/view.go
@@ -41,7 +41,7 @@
 		raised int64
 		// fromAll and toAll are the requests of both versions.
 		fromAll, toAll [spans]int
-		parts          []part
+		parts          []*part
 		samples        int
 		newest         int64
 		total          int
@@ -120,7 +120,7 @@
 	}
 	for name, p := range parts {
 		v := out[name]
-		v.parts = append(v.parts, *p)
+		v.parts = append(v.parts, p)
 	}
 }
 
--- a/internal/rollout/move/call.go
+++ b/internal/rollout/move/call.go
@@ -24,6 +24,9 @@
 	rec.Config = max(rec.Config, m.number)
 	s.call = &call{token: m.token, sent: now, rec: rec}
 	p := Put{Service: s.name, Key: Key(s.name), Token: m.token, Value: rec.encode(), Version: s.version}
+	if s.absent {
+		p.Version = 0
+	}
 	l := m.log(s, decision, rec.Share, rec.Reason)
 	l.Move = rec.Move
 	return []Effect{p, l}
@@ -47,8 +50,8 @@
 		return
 	}
 	if errors.Is(ev.Err, sassafrastray.ErrNotFound) {
-		// The known record is kept and written again if the object is gone.
-		s.known, s.version, s.failures = true, 0, 0
+		// A known record is kept and written again if the object is gone.
+		s.known, s.absent, s.failures = true, true, 0
 		return
 	}
 	if ev.Err != nil {
@@ -117,7 +120,7 @@
 func (m *Mover) heard(ev Heard, now time.Time) {
 	for _, c := range ev.Beat.Records {
 		s := m.services[c.Service]
-		if s == nil || !s.adopt(&c.Record, c.Version, true, now) || c.Version != s.version {
+		if s == nil || !s.adopt(&c.Record, c.Version, true, now) {
 			continue
 		}
 		if !ev.Asked.IsZero() && c.Age >= 0 {
--- a/internal/rollout/move/move_test.go
+++ b/internal/rollout/move/move_test.go
@@ -243,6 +243,37 @@
 	}
 }
 
+// TestGone checks that a record that has left the store is written again as it
+// was, and that older news of it is not believed.
+func TestGone(t *testing.T) {
+	f := newFleet(1)
+	f.publish(newMove("m0", f.now.Add(200*time.Second)))
+	m := New("vm9", 1, rand.New(rand.NewPCG(1, 1)), Options{})
+	m.Configure(2, f.services(1), f.now)
+	old := Record{Move: "m0", From: "v1", To: "v2", State: Running, Share: 100}
+	rec := *old.end(Reverted, "late")
+	rec.Move, rec.Past = "m1", []Outcome{{Move: "m0", State: Done}}
+	m.Step(Watched{Service: stock, Object: sassafrastray.Object{Version: 9, Value: rec.encode()}}, f.now)
+	f.now = f.now.Add(time.Second)
+	var put *Put
+	m.Configure(3, []sassafrastray.Service{{Name: stock, Move: newMove("m2", f.now.Add(200*time.Second))}}, f.now)
+	for range 100 {
+		f.now = f.now.Add(tick)
+		for _, e := range m.Step(Watched{Service: stock, Object: sassafrastray.Object{Version: 5, Value: old.encode()}}, f.now) {
+			switch e := e.(type) {
+			case Get:
+				m.Step(Got{Service: stock, Token: e.Token, Err: sassafrastray.ErrNotFound}, f.now)
+			case Put:
+				put = &e
+			}
+		}
+	}
+	next, err := Decode(put.Value)
+	if err != nil || put.Version != 0 || next.Outcome("m0").State != Done || next.Outcome("m1").State != Reverted {
+		t.Fatalf("%+v %+v %v", put, next, err)
+	}
+}
+
 // TestGood checks that a good version is moved in time, with few store calls.
 func TestGood(t *testing.T) {
 	f := newFleet(1)
--- a/internal/rollout/move/service.go
+++ b/internal/rollout/move/service.go
@@ -25,6 +25,7 @@
 		// known tells whether anything was learned of the record; rec is nil
 		// if there was none. Partial records lack their past.
 		known   bool
+		absent  bool // the object is not in the store
 		rec     *Record
 		version int64
 		partial bool
@@ -137,6 +138,7 @@
 	if s.known && version < s.version {
 		return false
 	}
+	s.absent = false
 	if s.known && version == s.version && s.rec != nil {
 		if !partial && s.partial {
 			s.rec, s.partial = rec, false
