--- a/internal/rollout/move/service.go
+++ b/internal/rollout/move/service.go
@@ -25,6 +25,7 @@
 		// known tells whether anything was learned of the record; rec is nil
 		// if there was none. Partial records lack their past.
 		known   bool
+		absent  bool // the object is not in the store
 		rec     *Record
 		version int64
 		partial bool
@@ -55,6 +56,7 @@
 		failures int
 		wroteAt  time.Time
 		askedAt  time.Time
+		askAt    time.Time // when this VM, being unsure, reads the record
 	}
 
 	// call is a store call under way. Rec is nil for a Get.
@@ -69,7 +71,7 @@
 	s.current = c.Version
 	if s.move == nil || c.Move == nil || s.move.Name != c.Move.Name {
 		s.reset()
-		s.needGet = s.needGet || c.Move != nil
+		s.needGet = s.needGet || c.Move != nil && !s.known
 	}
 	s.move, s.fallback = nil, false
 	if c.Move == nil {
@@ -136,6 +138,7 @@
 	if s.known && version < s.version {
 		return false
 	}
+	s.absent = false
 	if s.known && version == s.version && s.rec != nil {
 		if !partial && s.partial {
 			s.rec, s.partial = rec, false
