Relay membership through summaries of failure domains

Cause: beyond 24 VMs a VM heard only its own failure domain, and delegates a few others; nobody passed on what they heard, so most VMs knew no other domain. Ruled out: full exchange within a domain (18 partners twice a second are above 7 KB/s by themselves); delegates alone speaking to other domains (the load and the risk then sit on two VMs). Change: a VM of a sparse fleet exchanges with one VM of its domain in a round, and a domain's VMs together with four of other domains. The asker says what it has, the answer has what it lacks. Each domain has a summary with a number that only grows; its live delegate writes it. Relayed heartbeats carry their age. The state in the platform's list now counts until the next list only: a lagging list that still meant the earlier process of a restarted VM had the new one leaving for good. The fuzzing found that a dead VM stayed in a view for longer than its bound, because relaying restarted its age; a relayed heartbeat now has its age. Conclusion: rounds and bytes at full size are still to be measured.

--- a/internal/fleet/member/relay.go
+++ b/internal/fleet/member/relay.go
@@ -34,6 +34,8 @@
 	domain struct {
 		mark    Mark
 		entries []sassafrastray.VMName
+		// moved is when the mark last grew.
+		moved time.Time
 	}
 )
 
@@ -47,11 +49,16 @@
 // heartbeats to every other.
 func (t *Table) Sparse() bool { return len(t.entries) >= t.opt.Direct }
 
-// Writes reports whether this VM is one of the delegates that write the
-// summary of its failure domain. A VM that was paused listens first, since its
-// view is from before the pause.
+// Writes reports whether this VM is the one that writes the summary of its
+// failure domain: the first delegate or, if the summary stands still, another
+// one. A VM that was paused listens first, since its view is from before the
+// pause.
 func (t *Table) Writes(now time.Time) bool {
-	return t.Sparse() && !now.Before(t.silentUntil) && t.Rank(now) < t.opt.Delegates
+	if !t.Sparse() || now.Before(t.silentUntil) {
+		return false
+	}
+	r := t.Rank(now)
+	return r == 0 || r < t.opt.Delegates && now.Sub(t.domain(t.self.Domain).moved) > t.opt.Stall
 }
 
 // Entries returns the VMs of the own failure domain, this one apart, that
@@ -72,10 +79,10 @@
 }
 
 // Write gives the own domain's summary its next number.
-func (t *Table) Write(sum uint32) Mark {
+func (t *Table) Write(sum uint32, now time.Time) Mark {
 	d := t.domain(t.self.Domain)
 	d.mark.Number++
-	d.mark.Sum = sum
+	d.mark.Sum, d.moved = sum, now
 	return d.mark
 }
 
@@ -118,7 +125,7 @@
 	if d == nil || d.mark.Number == 0 || m.Sum != d.mark.Sum || !m.newer(d.mark) {
 		return false
 	}
-	d.mark = m
+	d.mark, d.moved = m, now
 	if m.Domain == t.self.Domain {
 		return true
 	}
@@ -131,15 +138,14 @@
 }
 
 // Learn takes in a mark with the heartbeats of its summary. It reports whether
-// that was news. VMs that the summary no longer names are out of the view at
-// once; the table keeps their incarnations, so that late heartbeats of theirs
-// stay late.
+// that was news. VMs that the summary does not name are out of the view at once; the
+// table keeps their incarnations, so that late heartbeats of theirs stay late.
 func (t *Table) Learn(m Mark, entries []Beat, now time.Time) bool {
 	d := t.domain(m.Domain)
 	if !m.newer(d.mark) {
 		return false
 	}
-	d.mark = m
+	d.mark, d.moved = m, now
 	if m.Domain == t.self.Domain {
 		// The own domain's VMs are known better than by their summary.
 		return true
@@ -155,13 +161,20 @@
 		}
 	}
 	for name, e := range t.entries {
-		if e.beat.VM.Domain == m.Domain && !named[name] {
-			e.heard = time.Time{}
+		if e.beat.VM.Domain == m.Domain {
+			e.named = named[name]
 		}
 	}
 	return true
 }
 
+// passing reports whether a VM of another domain was heard directly while its
+// domain's summary names others. Nobody would tell when it dies.
+func (t *Table) passing(e *entry) bool {
+	d := e.beat.VM.Domain
+	return t.Sparse() && d != t.self.Domain && !e.named && t.domains[d] != nil && t.domains[d].mark.Number > 0
+}
+
 // Seen returns the latest heartbeats of the own failure domain's VMs.
 func (t *Table) Seen() []Seen {
 	var out []Seen
@@ -175,12 +188,12 @@
 
 // Unseen returns the VMs of the own failure domain of which theirs lacks the
 // latest heartbeat, if the VM was heard of lately.
-func (t *Table) Unseen(theirs []Seen, now time.Time) []sassafrastray.VMName {
+func (t *Table) Unseen(theirs []Seen, now time.Time) []Member {
 	has := make(map[sassafrastray.VMName]Seen, len(theirs))
 	for _, s := range theirs {
 		has[s.VM] = s
 	}
-	var out []sassafrastray.VMName
+	var out []Member
 	for _, e := range t.sorted() {
 		b := e.beat
 		if b.VM.Domain != t.self.Domain || e.heard.IsZero() || now.Sub(e.heard) > t.dead() {
@@ -188,7 +201,7 @@
 		}
 		s := has[b.VM.Name]
 		if b.Incarnation > s.Incarnation || b.Incarnation == s.Incarnation && b.Sequence > s.Sequence {
-			out = append(out, b.VM.Name)
+			out = append(out, Member{Beat: b, Age: now.Sub(e.heard)})
 		}
 	}
 	return out
@@ -207,7 +220,7 @@
 		byDomain[d] = append(byDomain[d], e)
 	}
 	mates := byDomain[t.self.Domain]
-	live := t.living(mates, now)
+	live := t.speaking(mates, now)
 	var to []sassafrastray.VM
 	if len(live) == 0 || t.rng.IntN(exchange) == 0 {
 		to = t.any(to, mates)
@@ -220,16 +233,17 @@
 	// Domains that are not heard of are drawn like others: a cut that ends
 	// is only found by trying.
 	far := byDomain[domains[t.rng.IntN(len(domains))]]
-	if l := t.living(far, now); len(l) > 0 {
+	if l := t.speaking(far, now); len(l) > 0 {
 		far = l
 	}
 	return t.any(to, far)
 }
 
-func (t *Table) living(of []*entry, now time.Time) []*entry {
+// speaking returns the VMs that were heard of lately, leaving ones included.
+func (t *Table) speaking(of []*entry, now time.Time) []*entry {
 	var out []*entry
 	for _, e := range of {
-		if t.alive(e, now) {
+		if !e.heard.IsZero() && now.Sub(e.heard) <= t.suspect() {
 			out = append(out, e)
 		}
 	}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -39,6 +39,9 @@
 		// a sparse fleet, where heartbeats arrive through others.
 		SparseSuspect time.Duration
 		SparseDead    time.Duration
+		// Stall is how long a summary stands still before another delegate
+		// writes it.
+		Stall time.Duration
 	}
 
 	// Beat is the part of a heartbeat that the table reads.
@@ -61,11 +64,16 @@
 	}
 
 	entry struct {
-		beat   Beat
-		heard  time.Time
-		listed time.Time
+		beat  Beat
+		heard time.Time
+		// retired tells that the platform's latest list has the VM leaving.
+		// The list may mean an earlier process of the VM, so it counts only
+		// until the next list.
+		retired bool
 		// missed is when the platform's list last lacked the VM.
 		missed time.Time
+		// named tells that the latest summary of the VM's domain names it.
+		named bool
 	}
 
 	// Table is the view of one VM. It is not safe for concurrent use.
@@ -89,7 +97,7 @@
 	return Options{
 		Suspect: 2 * time.Second, Dead: 6 * time.Second, Forget: time.Minute,
 		Direct: 24, Delegates: 2, Fanout: 4,
-		SparseSuspect: 5 * time.Second, SparseDead: 10 * time.Second,
+		SparseSuspect: 6 * time.Second, SparseDead: 9 * time.Second, Stall: 2 * time.Second,
 	}
 }
 
@@ -102,8 +110,8 @@
 }
 
 // List takes in the platform's list. It lags, so a VM that it lacks is
-// forgotten only if it is silent too, and the state that it gives counts only
-// until the VM's own heartbeats tell better.
+// forgotten only if it is silent too. A VM is leaving if the latest list or the
+// VM's own latest heartbeat says so.
 func (t *Table) List(vms []sassafrastray.VM, now time.Time) {
 	seen := make(map[sassafrastray.VMName]bool, len(vms))
 	for _, v := range vms {
@@ -119,10 +127,7 @@
 		if e.heard.IsZero() {
 			e.beat.VM = v
 		}
-		if v.State == sassafrastray.Leaving {
-			e.beat.VM.State = sassafrastray.Leaving
-		}
-		e.listed, e.missed = now, time.Time{}
+		e.retired, e.missed = v.State == sassafrastray.Leaving, time.Time{}
 	}
 	for name, e := range t.entries {
 		if !seen[name] && e.missed.IsZero() {
@@ -131,10 +136,13 @@
 	}
 }
 
-// Hear takes in a heartbeat that arrived straight from its VM or through
-// another. It reports whether the heartbeat was news: late and repeated ones
-// change nothing.
-func (t *Table) Hear(b Beat, now time.Time) bool {
+// Hear takes in a heartbeat that arrived straight from its VM. It reports
+// whether the heartbeat was news: late and repeated ones change nothing.
+func (t *Table) Hear(b Beat, now time.Time) bool { return t.Relayed(b, 0, now) }
+
+// Relayed is Hear for a heartbeat that arrived through another VM, which heard
+// of it that long ago.
+func (t *Table) Relayed(b Beat, age time.Duration, now time.Time) bool {
 	if b.VM.Name == t.self.Name {
 		return false
 	}
@@ -147,11 +155,7 @@
 	if b.Incarnation < old.Incarnation || b.Incarnation == old.Incarnation && b.Sequence <= old.Sequence {
 		return false
 	}
-	// A process that began to stop never takes requests again.
-	if b.Incarnation == old.Incarnation && old.VM.State == sassafrastray.Leaving {
-		b.VM.State = sassafrastray.Leaving
-	}
-	e.beat, e.heard = b, now
+	e.beat, e.heard = b, now.Add(-age)
 	return true
 }
 
@@ -203,14 +207,14 @@
 func (t *Table) View(now time.Time) []Member {
 	var view []Member
 	for _, e := range t.sorted() {
-		if e.heard.IsZero() {
+		if e.heard.IsZero() || t.passing(e) {
 			continue
 		}
 		age := now.Sub(e.heard)
 		if age > t.dead() {
 			continue
 		}
-		view = append(view, Member{Beat: e.beat, Age: age, Suspect: age > t.suspect()})
+		view = append(view, Member{Beat: e.now(), Age: age, Suspect: age > t.suspect()})
 	}
 	return view
 }
@@ -221,14 +225,23 @@
 	if e == nil {
 		return sassafrastray.VM{}, false
 	}
-	return e.beat.VM, true
+	return e.now().VM, true
 }
 
 // Known returns all candidates, heard of or not, by name.
 func (t *Table) Known() []sassafrastray.VM { return vms(t.sorted()) }
 
 func (t *Table) alive(e *entry, now time.Time) bool {
-	return !e.heard.IsZero() && now.Sub(e.heard) <= t.suspect() && e.beat.VM.State == sassafrastray.Live
+	return !e.heard.IsZero() && now.Sub(e.heard) <= t.suspect() && e.now().VM.State == sassafrastray.Live
+}
+
+// now returns the VM's heartbeat with what the platform's list adds.
+func (e *entry) now() Beat {
+	b := e.beat
+	if e.retired {
+		b.VM.State = sassafrastray.Leaving
+	}
+	return b
 }
 
 func (t *Table) suspect() time.Duration {
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -38,6 +38,13 @@
 		faults *Faults
 	}
 
+	// message is a message on its way out.
+	message struct {
+		path   string
+		body   []byte
+		packed bool
+	}
+
 	// Token proves that a message comes from a VM of the system. It is
 	// derived from the secret that the VMs share.
 	Token string
@@ -63,7 +70,7 @@
 // Beat sends a heartbeat and returns the other VM's own.
 func (c *Client) Beat(to sassafrastray.VM, h *Heartbeat, timeout time.Duration) (*Heartbeat, error) {
 	var answer Heartbeat
-	if err := c.call(to, BeatPath, h, &answer, timeout); err != nil {
+	if err := c.call(to, message{path: BeatPath, packed: h.Relay != nil}, h, &answer, timeout); err != nil {
 		return nil, errors.Wrap(err, "heartbeat")
 	}
 	return &answer, nil
@@ -76,42 +83,49 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode")
 	}
-	b, err := c.exchange(to, ConfigPath, body, timeout)
+	b, err := c.exchange(to, message{path: ConfigPath, body: body}, timeout)
 	return b, errors.Wrap(err, "configuration from peer")
 }
 
 // Quota sends a message about quota loans and returns the answers.
 func (c *Client) Quota(to sassafrastray.VM, m quota.Message, timeout time.Duration) ([]quota.Message, error) {
 	var answers []quota.Message
-	err := c.call(to, QuotaPath, m, &answers, timeout)
+	err := c.call(to, message{path: QuotaPath}, m, &answers, timeout)
 	return answers, errors.Wrap(err, "quota message")
 }
 
-func (c *Client) call(to sassafrastray.VM, path string, in, out any, timeout time.Duration) error {
+func (c *Client) call(to sassafrastray.VM, m message, in, out any, timeout time.Duration) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return errors.Wrap(err, "encode")
 	}
-	answer, err := c.exchange(to, path, body, timeout)
+	m.body, m.packed = body, m.packed && len(body) > packAbove
+	if m.packed {
+		m.body = pack(body)
+	}
+	answer, err := c.exchange(to, m, timeout)
 	if err != nil {
 		return err
 	}
 	return errors.Wrap(json.Unmarshal(answer, out), "decode")
 }
 
-func (c *Client) exchange(to sassafrastray.VM, path string, body []byte, timeout time.Duration) ([]byte, error) {
+func (c *Client) exchange(to sassafrastray.VM, m message, timeout time.Duration) ([]byte, error) {
 	if err := c.faults.cross(c.self.Domain, to.Domain, timeout); err != nil {
 		return nil, err
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(path)
+	req.SetRequestURI(m.path)
 	req.Header.SetHost(string(to.Name))
 	c.Sign(&req.Header)
-	if body != nil {
+	if m.body != nil {
 		req.Header.SetMethod(fasthttp.MethodPost)
-		req.SetBodyRaw(body)
+		req.SetBodyRaw(m.body)
+	}
+	if m.packed {
+		req.Header.SetContentEncoding(encoding)
 	}
 	x := c.pool.Start(upstream.Call{Address: to.Inner, Deadline: c.clock.Now().Add(timeout), Progress: progress})
 	if out := x.Do(req, resp); out.Failure != upstream.None {
@@ -121,6 +135,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if string(resp.Header.ContentEncoding()) == encoding {
+		if answer, err = unpack(answer); err != nil {
+			return nil, err
+		}
+	}
 	switch resp.StatusCode() {
 	case fasthttp.StatusOK:
 		return answer, nil
--- a/internal/fleet/peer/message.go
+++ b/internal/fleet/peer/message.go
@@ -41,8 +41,8 @@
 )
 
 type (
-	// Heartbeat is what a VM tells others about itself, and its own
-	// failure domain's VMs to those of other domains.
+	// Heartbeat is what a VM tells others about itself and, in a large
+	// fleet, about third VMs.
 	Heartbeat struct {
 		VM       sassafrastray.VM          `json:"vm"`
 		Inc      sassafrastray.Incarnation `json:"inc"`
@@ -58,11 +58,32 @@
 		Loads    []keeper.Load               `json:"loads,omitempty"`
 		Holdings []keeper.Holding            `json:"holdings,omitempty"`
 		Drains   []sassafrastray.BackendName `json:"drains,omitempty"`
-		Quota    quota.Digest                `json:"quota"`
-		Evidence evidence.Digest             `json:"evidence"`
-		Moves    move.Beat                   `json:"moves"`
-		// Mates are relayed heartbeats of other VMs.
-		Mates []Heartbeat `json:"mates,omitempty"`
+		Quota    quota.Digest                `json:"quota,omitzero"`
+		Evidence evidence.Digest             `json:"evidence,omitzero"`
+		Moves    move.Beat                   `json:"moves,omitzero"`
+		// Heard is how long ago the relaying VM heard of this heartbeat, in
+		// milliseconds.
+		Heard int64 `json:"heard,omitempty"`
+		// Relay is nil in fleets where every VM hears every other.
+		Relay *Relay `json:"relay,omitempty"`
+	}
+
+	// Relay is what a VM knows and tells of others. A VM that asks gives
+	// Seen to VMs of its own failure domain, and Marks; the answer has the
+	// heartbeats of Mates that Seen lacks, the Marks that are newer than the
+	// asker's, and the Summaries of those that changed.
+	Relay struct {
+		Seen      []member.Seen `json:"seen,omitempty"`
+		Marks     []member.Mark `json:"marks,omitempty"`
+		Mates     []Heartbeat   `json:"mates,omitempty"`
+		Summaries []Summary     `json:"summaries,omitempty"`
+	}
+
+	// Summary is what other failure domains know of one: a few of its VMs,
+	// with their loads in coarse figures.
+	Summary struct {
+		Domain  sassafrastray.DomainName `json:"domain"`
+		Entries []Heartbeat              `json:"entries"`
 	}
 )
 
@@ -73,3 +94,21 @@
 
 // Age returns how long ago the VM knew its configuration to be the newest.
 func (h *Heartbeat) Age() time.Duration { return time.Duration(h.Confirmed) * time.Millisecond }
+
+// Brief returns the heartbeat without what only VMs that hear it directly
+// need.
+func (h *Heartbeat) Brief() Heartbeat {
+	return Heartbeat{
+		VM: h.VM, Inc: h.Inc, Sequence: h.Sequence, Config: h.Config, Confirmed: h.Confirmed, Ready: h.Ready,
+		Loads: h.Loads, Holdings: h.Holdings, Drains: h.Drains,
+	}
+}
+
+// Beats returns the parts of the summary that membership reads.
+func (s *Summary) Beats() []member.Beat {
+	out := make([]member.Beat, len(s.Entries))
+	for i := range s.Entries {
+		out[i] = s.Entries[i].Beat()
+	}
+	return out
+}
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -68,8 +68,13 @@
 
 func (s *Server) beat(ctx *fasthttp.RequestCtx) {
 	var h Heartbeat
-	if decode(ctx, &h) {
-		reply(ctx, s.service.Beat(&h))
+	if !decode(ctx, &h) {
+		return
+	}
+	reply(ctx, s.service.Beat(&h))
+	if b := ctx.Response.Body(); h.Relay != nil && len(b) > packAbove {
+		ctx.SetBody(pack(b))
+		ctx.Response.Header.SetContentEncoding(encoding)
 	}
 }
 
@@ -95,7 +100,15 @@
 
 // decode reads a message, or answers that it can't be read.
 func decode(ctx *fasthttp.RequestCtx, v any) bool {
-	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+	body := ctx.PostBody()
+	var err error
+	if string(ctx.Request.Header.ContentEncoding()) == encoding {
+		body, err = unpack(body)
+	}
+	if err == nil {
+		err = json.Unmarshal(body, v)
+	}
+	if err != nil {
 		ctx.Error("message: "+err.Error(), fasthttp.StatusBadRequest)
 		return false
 	}
--- a/internal/fleet/vm/beat.go
+++ b/internal/fleet/vm/beat.go
@@ -45,9 +45,11 @@
 func (v *VM) beat(to []sassafrastray.VM, now time.Time) {
 	h := v.heartbeat(now)
 	for _, t := range to {
+		m := *h
+		m.Relay = v.asks(t)
 		v.spawn(func() {
 			asked := v.clock.Now()
-			answer, err := v.client.Beat(t, h, callTimeout)
+			answer, err := v.client.Beat(t, &m, callTimeout)
 			if err != nil {
 				v.post(func(now time.Time) { v.stepPlaceProbe(t.Name, false, now) })
 				return
@@ -60,8 +62,8 @@
 	}
 }
 
-// heartbeat is what the VM tells about itself.
-func (v *VM) heartbeat(now time.Time) *peer.Heartbeat {
+// own is what the VM tells about itself to VMs that hear it through others.
+func (v *VM) own(now time.Time) *peer.Heartbeat {
 	v.sequence++
 	h := &peer.Heartbeat{VM: v.self, Inc: v.inc, Sequence: v.sequence, Ready: v.ready(now)}
 	h.VM.State = v.state
@@ -73,9 +75,19 @@
 		h.Loads, h.Holdings, h.Drains = k.Load(), k.Holdings(now), k.Drains(now)
 		return nil, nil
 	})
+	return h
+}
+
+// heartbeat is what the VM tells about itself to VMs that it speaks with.
+func (v *VM) heartbeat(now time.Time) *peer.Heartbeat {
+	h := v.own(now)
 	v.quotas.do(func(b *quota.Book, _ time.Time) { h.Quota = b.Digest() })
 	v.samples.do(func(l *evidence.Ledger, now time.Time) { h.Evidence = l.Digest(now) })
 	h.Moves = v.mover.Beat(now)
+	if len(h.Moves.Bad) > v.bads {
+		v.news = extraRounds
+	}
+	v.bads = len(h.Moves.Bad)
 	return h
 }
 
@@ -84,7 +96,9 @@
 	answer := make(chan *peer.Heartbeat, 1)
 	if !v.post(func(now time.Time) {
 		v.hear(h, time.Time{}, now)
-		answer <- v.heartbeat(now)
+		a := v.heartbeat(now)
+		a.Relay = v.tells(h, now)
+		answer <- a
 	}) {
 		return nil
 	}
@@ -99,10 +113,13 @@
 // hear takes in a heartbeat. Asked is when this VM sent the message that the
 // heartbeat answers, or zero.
 func (v *VM) hear(h *peer.Heartbeat, asked, now time.Time) {
+	v.hearRelay(h.Relay, now)
 	if !v.members.Hear(h.Beat(), now) {
 		return
 	}
-	v.beats[h.VM.Name] = h
+	kept := *h
+	kept.Relay = nil
+	v.beats[h.VM.Name] = &kept
 	v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) {
 		k.Heard(h.Holdings, now)
 		for _, b := range h.Drains {
@@ -118,14 +135,11 @@
 // hearConfig pulls a newer configuration, or counts the other VM's
 // confirmation of the same one.
 func (v *VM) hearConfig(h *peer.Heartbeat, asked time.Time) {
-	own := int64(0)
-	if v.conf.current != nil {
-		own = v.conf.current.Number
-	}
+	c := v.conf.current
 	switch {
-	case h.Config > own:
+	case v.behind(h.Config):
 		v.pull(h.VM)
-	case h.Config == own && own > 0 && !asked.IsZero():
+	case c != nil && h.Config == c.Number && !asked.IsZero():
 		// The other's age is at most that large at the time it was asked.
 		v.confirm(asked.Add(-h.Age()))
 	}
--- a/internal/fleet/vm/config.go
+++ b/internal/fleet/vm/config.go
@@ -200,6 +200,7 @@
 	v.conf.routes, v.conf.keys = route.New(c), key.NewTable(c)
 	v.conf.table = tableFor(old, c, v.conf.table)
 	v.metrics.config.Set(float64(c.Number))
+	v.news = extraRounds
 	v.log.Info("configuration in force", "number", c.Number, "publish", c.Publish, "source", source)
 	v.configure(now)
 }
--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -111,6 +111,11 @@
 		beats    map[sassafrastray.VMName]*peer.Heartbeat
 		due      map[string]time.Time
 		pulling  bool
+		// summaries are those of all failure domains, for VMs that ask.
+		summaries map[sassafrastray.DomainName]peer.Summary
+		// rounds counts rounds of heartbeats, news the extra ones to come.
+		// bads is how many marks on bad versions the last one carried.
+		rounds, news, bads int
 		// answers are the look-ups' answers for the configuration answersOf
 		// and the VMs named.
 		answers   *lookup.Snapshot
@@ -133,11 +138,12 @@
 		set: set, self: self, inc: inc, began: now, clock: clock, log: log, platform: platform,
 		registry: prometheus.NewRegistry(),
 		work:     work, tasks: make(chan task, taskQueue),
-		state:   sassafrastray.Live,
-		rng:     seeded(inc, 0),
-		beats:   make(map[sassafrastray.VMName]*peer.Heartbeat),
-		due:     make(map[string]time.Time),
-		probing: make(map[sassafrastray.BackendName]bool),
+		state:     sassafrastray.Live,
+		rng:       seeded(inc, 0),
+		beats:     make(map[sassafrastray.VMName]*peer.Heartbeat),
+		due:       make(map[string]time.Time),
+		summaries: make(map[sassafrastray.DomainName]peer.Summary),
+		probing:   make(map[sassafrastray.BackendName]bool),
 	}
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.metrics = newMetrics(v.registry)
@@ -249,13 +255,10 @@
 // tick does what time brings.
 func (v *VM) tick(now time.Time) {
 	v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) { return k.Tick(now) })
-	if v.every("list", listEvery, now) {
+	if v.readsList(now) {
 		v.readList()
 	}
-	to := v.targets(now)
-	if v.every("beat", beatEvery, now) {
-		v.beat(to, now)
-	}
+	v.round(now)
 	if v.every("probe", probeEvery, now) {
 		v.probe(now)
 	}
@@ -267,5 +270,7 @@
 	v.lend(now)
 	v.judge(now)
 	v.stepMoves(move.Tick{}, now)
-	v.publish(now)
+	if !v.members.Sparse() || v.every("publish", publishSparse, now) {
+		v.publish(now)
+	}
 }
