Remember one earlier configuration when there are many blocks

Cause: a VM kept four earlier configurations; with 150,000 blocks each takes 7.3 MB, so they alone took 29 of the 64 MB. Change: above 20,000 blocks one earlier configuration is kept. A VM that stops tells so in extra rounds too. BenchmarkHop measures one hop of a change. Conclusion: a VM holds 18.7 MB at full size by calculation; resident size was not measured.

--- a/internal/fleet/vm/config.go
+++ b/internal/fleet/vm/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,10 @@
 	// for VMs that are a few behind.
 	kept = 4
 
+	// manyBlocks is the number of blocks above which a VM remembers only one
+	// earlier configuration, since each takes megabytes.
+	manyBlocks = 20_000
+
 	// wholeInline is the size in bytes up to which a whole configuration
 	// travels uncompressed.
 	wholeInline = 64 << 10
@@ -192,9 +197,11 @@
 			return
 		}
 		v.conf.past = append(v.conf.past, old)
-		if len(v.conf.past) > kept {
-			v.conf.past = v.conf.past[1:]
+		keep := kept
+		if len(c.Fleet.Blocks) > manyBlocks {
+			keep = 1
 		}
+		v.conf.past = slices.Clone(v.conf.past[max(0, len(v.conf.past)-keep):])
 	}
 	v.conf.current, v.conf.encoded = c, &transfers{all: make(map[config.Stamp][]byte)}
 	v.conf.routes, v.conf.keys = route.New(c), key.NewTable(c)
--- /dev/null
+++ b/internal/fleet/vm/hop_test.go
@@ -0,0 +1,65 @@
+package vm
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"sassafrastray"
+	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/traffic/lookup"
+)
+
+// BenchmarkHop measures what a change of five blocks costs the two VMs of one
+// hop: as a difference, and whole for a VM that has no earlier configuration.
+func BenchmarkHop(b *testing.B) {
+	for _, blocks := range []int{10_000, 50_000, 100_000, 150_000} {
+		old := fullConfig(blocks)
+		config.Sort(old)
+		c := *old
+		c.Number, c.Publish = 2, "q"
+		c.Fleet.Blocks = append([]sassafrastray.Block(nil), old.Fleet.Blocks...)
+		for i := range 5 {
+			c.Fleet.Blocks[i*blocks/5].Region = "site-7"
+		}
+		table := lookup.NewTable(old.Fleet.Blocks)
+		sender := configuration{current: &c, past: []*sassafrastray.Config{old}}
+		for name, have := range map[string]config.Stamp{"difference": config.StampOf(old), "whole": {}} {
+			b.Run(fmt.Sprintf("%s/blocks=%d", name, blocks), func(b *testing.B) {
+				var size int
+				for b.Loop() {
+					size = hop(b, sender, have, old, table)
+				}
+				b.ReportMetric(float64(size), "B")
+			})
+		}
+	}
+}
+
+// hop passes the sender's configuration on and returns the size on the way.
+func hop(b *testing.B, sender configuration, have config.Stamp, old *sassafrastray.Config, table *lookup.Table) int {
+	t, err := sender.build(have)
+	if err != nil {
+		b.Fatal(err)
+	}
+	body, err := json.Marshal(t)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var got transfer
+	if err := json.Unmarshal(body, &got); err != nil {
+		b.Fatal(err)
+	}
+	var c *sassafrastray.Config
+	if got.Difference != nil {
+		c, err = config.Apply(old, *got.Difference)
+	} else {
+		c, err = config.Assemble(*got.Head, func(d config.Digest) ([]byte, error) { return got.Chunks[d], nil })
+		old, table = nil, nil
+	}
+	if err != nil || c.Number != 2 {
+		b.Fatal(err)
+	}
+	tableFor(old, c, table)
+	return len(body)
+}
--- a/internal/fleet/vm/serve.go
+++ b/internal/fleet/vm/serve.go
@@ -132,7 +132,7 @@
 	end := v.clock.Now().Add(v.set.Timing.Drain)
 	v.log.Info("draining", "until", end)
 	v.post(func(now time.Time) {
-		v.state = sassafrastray.Leaving
+		v.state, v.news = sassafrastray.Leaving, extraRounds
 		v.publish(now)
 		v.beat(v.members.Tick(now), now)
 	})
