--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -42,6 +42,13 @@
 	probeEvery = time.Second
 	sweepEvery = 10 * time.Second
 
+	// quotaEvery is the time between two rounds of the quotas while requests
+	// wait for tokens.
+	quotaEvery = 25 * time.Millisecond
+
+	// shortFor is how long quotas go round more often after a request waited.
+	shortFor = 5 * time.Second
+
 	// lendEvery is the least time between two rounds of quota messages that
 	// waiting requests bring about.
 	lendEvery = 10 * time.Millisecond
@@ -112,6 +119,14 @@
 		beats    map[sassafrastray.VMName]*peer.Heartbeat
 		due      map[string]time.Time
 		pulling  bool
+		// shortUntil is until when quotas go round more often, because
+		// requests waited for tokens a moment ago.
+		shortUntil time.Time
+		// summaries are those of all failure domains, for VMs that ask.
+		summaries map[sassafrastray.DomainName]peer.Summary
+		// news is how many extra rounds of heartbeats are to come, and bads
+		// how many marks on bad versions the last heartbeat carried.
+		news, bads int
 		// answers are the look-ups' answers for the configuration answersOf
 		// and the VMs named.
 		answers   *lookup.Snapshot
@@ -136,11 +151,12 @@
 		set: set, self: self, inc: inc, began: now, clock: clock, log: log, platform: platform,
 		registry: prometheus.NewRegistry(),
 		work:     work, tasks: make(chan task, taskQueue),
-		state:   sassafrastray.Live,
-		rng:     seeded(inc, 0),
-		beats:   make(map[sassafrastray.VMName]*peer.Heartbeat),
-		due:     make(map[string]time.Time),
-		probing: make(map[sassafrastray.BackendName]bool),
+		state:     sassafrastray.Live,
+		rng:       seeded(inc, 0),
+		beats:     make(map[sassafrastray.VMName]*peer.Heartbeat),
+		due:       make(map[string]time.Time),
+		summaries: make(map[sassafrastray.DomainName]peer.Summary),
+		probing:   make(map[sassafrastray.BackendName]bool),
 	}
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.metrics = newMetrics(v.registry)
@@ -214,11 +230,16 @@
 		case <-v.quotas.short:
 			// Requests wait for quota: the next tick may be too late for
 			// them. The pause bounds the cost when many wait.
-			if now := v.clock.Now(); v.every("lend", lendEvery, now) {
+			now := v.clock.Now()
+			v.shortUntil = now.Add(shortFor)
+			if v.every("lend", lendEvery, now) {
 				v.lend(now)
 			}
 		case <-q.C:
 			v.gate.Do(func(k *keeper.Keeper, now time.Time) ([]keeper.Start, []keeper.Drop) { return k.Tick(now) })
+			if now := v.clock.Now(); now.Before(v.shortUntil) && v.every("quota", quotaEvery, now) {
+				v.lend(now)
+			}
 		case <-t.C:
 			v.tick(v.clock.Now())
 		}
@@ -254,13 +275,10 @@
 
 // tick does what time brings.
 func (v *VM) tick(now time.Time) {
-	if v.every("list", listEvery, now) {
+	if v.readsList(now) {
 		v.readList()
 	}
-	to := v.targets(now)
-	if v.every("beat", beatEvery, now) {
-		v.beat(to, now)
-	}
+	v.round(now)
 	if v.every("probe", probeEvery, now) {
 		v.probe(now)
 	}
@@ -272,5 +290,7 @@
 	v.lend(now)
 	v.judge(now)
 	v.stepMoves(move.Tick{}, now)
-	v.publish(now)
+	if !v.members.Sparse() || v.every("publish", publishSparse, now) {
+		v.publish(now)
+	}
 }
--- a/internal/limit/quota/demand.go
+++ b/internal/limit/quota/demand.go
@@ -85,9 +85,9 @@
 	return time.Unix(0, at*int64(slotLength))
 }
 
-// remove uncounts n tokens, because a Take succeeded: the caller gives them to
+// serve uncounts n tokens, because a Take succeeded: the caller gives them to
 // the request that waits longest.
-func (w *waiting) remove(n float64, now time.Time) {
+func (w *waiting) serve(n float64, now time.Time) {
 	if w.sum(now) == 0 {
 		return
 	}
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -188,11 +188,18 @@
 	if e == nil || e.removed {
 		return Verdict{}
 	}
+	v := b.take(e, n, now)
+	if v.OK {
+		e.waiting.serve(n, now)
+	}
+	return v
+}
+
+func (b *Book) take(e *entry, n float64, now time.Time) Verdict {
 	b.check(now)
 	e.advance(now)
 	if e.tokens >= n {
 		e.take(n)
-		e.waiting.remove(n, now)
 		return Verdict{OK: true, Known: true, Stamp: Stamp{taken: now, spill: e.spill}}
 	}
 	v := Verdict{Wait: e.delay(n, now, b.opt), Known: true}
@@ -207,10 +214,12 @@
 // Again is Take for a request that waited as long as an earlier verdict said.
 // It no longer counts as one of those that wait ahead of it.
 func (b *Book) Again(key string, n float64, s Stamp, now time.Time) Verdict {
-	if e := b.entries[key]; e != nil {
-		e.waiting.remove(n, s.due, now)
+	e := b.entries[key]
+	if e == nil || e.removed {
+		return Verdict{}
 	}
-	return b.Take(key, n, now)
+	e.waiting.remove(n, s.due, now)
+	return b.take(e, n, now)
 }
 
 // Ready tells whether a Take would succeed, without counting as demand. After
