--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -248,3 +248,15 @@
 		t.Errorf("%+v", marks)
 	}
 }
+
+// TestPassing has a VM of another domain that is heard directly, though its
+// domain's summary names others.
+func TestPassing(t *testing.T) {
+	w := newWorld(2, 2, Options{Direct: 2, SparseSuspect: time.Second, SparseDead: 3 * time.Second}, 1)
+	n, a, b := w.nodes[0], w.nodes[1], w.nodes[3]
+	n.Learn(Mark{Domain: "d-01", Number: 1, Sum: 1}, []Beat{b.beat()}, w.now)
+	n.Hear(a.beat(), w.now)
+	if v := n.View(w.now); len(v) != 1 || v[0].VM.Name != b.vm.Name {
+		t.Errorf("%+v", v)
+	}
+}
