Give marks of failure domains an age

Cause: each VM that passed a mark on counted the silence of the domain from when it had heard of the mark. A lost domain stayed in views for too long. Change: marks carry the age that the sender knows, in tenths of a second.

--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -147,7 +147,7 @@
 		for _, v := range n.View(m.now) {
 			m.checkMember(t, n, v)
 		}
-		for _, k := range n.Marks() {
+		for _, k := range n.Marks(m.now) {
 			if k.Number < m.numbers[n.inc][k.Domain] {
 				t.Fatalf("%s: domain %s at %d after %d", n.vm.Name, k.Domain, k.Number, m.numbers[n.inc][k.Domain])
 			}
@@ -244,7 +244,7 @@
 	if v := n.View(w.now); len(v) != 1 || v[0].VM.Name != b.vm.Name {
 		t.Errorf("%+v", v)
 	}
-	if marks := n.Marks(); len(marks) != 1 || marks[0] != second {
+	if marks := n.Marks(w.now); len(marks) != 1 || marks[0] != second {
 		t.Errorf("%+v", marks)
 	}
 }
@@ -269,7 +269,7 @@
 	beats := []Beat{lost.beat()}
 	far.Learn(Mark{Domain: "d-01", Number: 1, Sum: 1}, beats, w.now)
 	w.now = w.now.Add(9 * time.Second)
-	marks, _ := far.Newer(n.Marks())
+	marks, _ := far.Newer(n.Marks(w.now), w.now)
 	n.Learn(marks[0], beats, w.now)
 	w.now = w.now.Add(2 * time.Second)
 	if v := n.View(w.now); len(v) != 0 {
--- a/internal/fleet/member/relay.go
+++ b/internal/fleet/member/relay.go
@@ -15,6 +15,9 @@
 // no other VM of the domain has found.
 const exchange = 8
 
+// ageUnit is the unit of ages on the wire.
+const ageUnit = 100 * time.Millisecond
+
 type (
 	// Mark is how far one VM's knowledge of a failure domain goes. Number
 	// grows with each round in which the domain is known to live; Sum is a
@@ -23,6 +26,9 @@
 		Domain sassafrastray.DomainName `json:"d"`
 		Number uint64                   `json:"n"`
 		Sum    uint16                   `json:"s"`
+		// Age is how long ago the sender's mark grew, by what it was told
+		// itself, in tenths of a second.
+		Age int64 `json:"a,omitempty"`
 	}
 
 	// Seen is the latest heartbeat that a VM has of another one. Run is a
@@ -90,11 +96,13 @@
 }
 
 // Marks returns how far the table's knowledge of each failure domain goes.
-func (t *Table) Marks() []Mark {
+func (t *Table) Marks(now time.Time) []Mark {
 	out := make([]Mark, 0, len(t.domains))
 	for _, d := range t.domains {
 		if d.mark.Number > 0 {
-			out = append(out, d.mark)
+			m := d.mark
+			m.Age = int64(now.Sub(d.moved) / ageUnit)
+			out = append(out, m)
 		}
 	}
 	slices.SortFunc(out, func(a, b Mark) int { return cmp.Compare(a.Domain, b.Domain) })
@@ -103,12 +111,12 @@
 
 // Newer returns the marks that are newer than theirs. Those whose Sum differs
 // need their summary sent along.
-func (t *Table) Newer(theirs []Mark) (marks []Mark, changed []sassafrastray.DomainName) {
+func (t *Table) Newer(theirs []Mark, now time.Time) (marks []Mark, changed []sassafrastray.DomainName) {
 	has := make(map[sassafrastray.DomainName]Mark, len(theirs))
 	for _, m := range theirs {
 		has[m.Domain] = m
 	}
-	for _, m := range t.Marks() {
+	for _, m := range t.Marks(now) {
 		o := has[m.Domain]
 		if !m.newer(o) {
 			continue
@@ -128,13 +136,15 @@
 	if d == nil || d.mark.Number == 0 || m.Sum != d.mark.Sum || !m.newer(d.mark) {
 		return false
 	}
-	d.mark, d.moved = m, now
+	at := now.Add(-time.Duration(m.Age) * ageUnit)
+	d.mark, d.moved = m, at
+	d.mark.Age = 0
 	if m.Domain == t.self.Domain {
 		return true
 	}
 	for _, name := range d.entries {
 		if e := t.entries[name]; e != nil && !e.heard.IsZero() {
-			e.heard = now
+			e.heard = at
 		}
 	}
 	return true
@@ -148,7 +158,9 @@
 	if !m.newer(d.mark) {
 		return false
 	}
-	d.mark, d.moved = m, now
+	at := now.Add(-time.Duration(m.Age) * ageUnit)
+	d.mark, d.moved = m, at
+	d.mark.Age = 0
 	if m.Domain == t.self.Domain {
 		// The own domain's VMs are known better than by their summary.
 		return true
@@ -160,7 +172,7 @@
 		d.entries = append(d.entries, b.VM.Name)
 		t.Hear(b, now)
 		if e := t.entries[b.VM.Name]; e != nil && e.beat.Incarnation == b.Incarnation {
-			e.heard = now
+			e.heard = at
 		}
 	}
 	for name, e := range t.entries {
--- a/internal/fleet/member/world_test.go
+++ b/internal/fleet/member/world_test.go
@@ -143,7 +143,7 @@
 	for _, to := range n.Tick(w.now) {
 		m := message{from: i, to: w.index[to.Name], beat: n.beat()}
 		if n.Sparse() {
-			m.marks = n.Marks()
+			m.marks = n.Marks(w.now)
 			if to.Domain == n.vm.Domain {
 				m.seen = n.Seen()
 			}
@@ -193,7 +193,7 @@
 		a.mates = n.Unseen(m.seen, w.now)
 	}
 	var changed []sassafrastray.DomainName
-	a.marks, changed = n.Newer(m.marks)
+	a.marks, changed = n.Newer(m.marks, w.now)
 	for _, d := range changed {
 		a.summaries[d] = n.summaries[d]
 	}
--- a/internal/fleet/vm/relay.go
+++ b/internal/fleet/vm/relay.go
@@ -86,7 +86,7 @@
 	if !v.members.Sparse() {
 		return nil
 	}
-	r := &peer.Relay{Marks: v.members.Marks()}
+	r := &peer.Relay{Marks: v.members.Marks(v.clock.Now())}
 	if to.Domain == v.self.Domain {
 		r.Seen = v.members.Seen()
 	}
@@ -108,7 +108,7 @@
 			}
 		}
 	}
-	marks, changed := v.members.Newer(h.Relay.Marks)
+	marks, changed := v.members.Newer(h.Relay.Marks, now)
 	r.Marks = marks
 	for _, d := range changed {
 		if s, ok := v.summaries[d]; ok {
