--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -147,7 +147,7 @@
 		for _, v := range n.View(m.now) {
 			m.checkMember(t, n, v)
 		}
-		for _, k := range n.Marks() {
+		for _, k := range n.Marks(m.now) {
 			if k.Number < m.numbers[n.inc][k.Domain] {
 				t.Fatalf("%s: domain %s at %d after %d", n.vm.Name, k.Domain, k.Number, m.numbers[n.inc][k.Domain])
 			}
@@ -244,7 +244,35 @@
 	if v := n.View(w.now); len(v) != 1 || v[0].VM.Name != b.vm.Name {
 		t.Errorf("%+v", v)
 	}
-	if marks := n.Marks(); len(marks) != 1 || marks[0] != second {
+	if marks := n.Marks(w.now); len(marks) != 1 || marks[0] != second {
 		t.Errorf("%+v", marks)
 	}
 }
+
+// TestPassing has a VM of another domain that is heard directly, though its
+// domain's summary names others.
+func TestPassing(t *testing.T) {
+	w := newWorld(2, 2, Options{Direct: 2, SparseSuspect: time.Second, SparseDead: 3 * time.Second}, 1)
+	n, a, b := w.nodes[0], w.nodes[1], w.nodes[3]
+	n.Learn(Mark{Domain: "d-01", Number: 1, Sum: 1}, []Beat{b.beat()}, w.now)
+	n.Hear(a.beat(), w.now)
+	if v := n.View(w.now); len(v) != 1 || v[0].VM.Name != b.vm.Name {
+		t.Errorf("%+v", v)
+	}
+}
+
+// TestStaleMark has a mark that is passed on long after its domain was lost.
+func TestStaleMark(t *testing.T) {
+	opt := Options{Direct: 2, SparseSuspect: 8 * time.Second, SparseDead: 10 * time.Second}
+	w := newWorld(4, 1, opt, 1)
+	n, far, lost := w.nodes[3], w.nodes[0], w.nodes[1]
+	beats := []Beat{lost.beat()}
+	far.Learn(Mark{Domain: "d-01", Number: 1, Sum: 1}, beats, w.now)
+	w.now = w.now.Add(9 * time.Second)
+	marks, _ := far.Newer(n.Marks(w.now), w.now)
+	n.Learn(marks[0], beats, w.now)
+	w.now = w.now.Add(2 * time.Second)
+	if v := n.View(w.now); len(v) != 0 {
+		t.Errorf("%s is in view 11 s after its last sign of life", v[0].VM.Name)
+	}
+}
