Send evidence once a second, count by its own rule, and drain refused bodies

Change: evidence goes once a second; evidence.Counts decides; up to 1 MiB or 1 s of a refused body is read before the answer. Figures: go test ./internal/fleet/vm ./internal/traffic/... passes.

--- a/internal/fleet/vm/beat.go
+++ b/internal/fleet/vm/beat.go
@@ -82,7 +82,9 @@
 func (v *VM) heartbeat(now time.Time) *peer.Heartbeat {
 	h := v.own(now)
 	v.quotas.do(func(b *quota.Book, _ time.Time) { h.Quota = b.Digest() })
-	v.samples.do(func(l *evidence.Ledger, now time.Time) { h.Evidence = l.Digest(now) })
+	if v.every("evidence", evidenceEvery, now) {
+		v.samples.do(func(l *evidence.Ledger, now time.Time) { h.Evidence = l.Digest(now) })
+	}
 	h.Moves = v.mover.Beat(now)
 	if len(h.Moves.Bad) > v.bads {
 		v.news = extraRounds
@@ -127,7 +129,9 @@
 		}
 		return nil, nil
 	})
-	v.samples.do(func(l *evidence.Ledger, now time.Time) { l.Merge(h.Evidence, now) })
+	if h.Evidence.VM != "" {
+		v.samples.do(func(l *evidence.Ledger, now time.Time) { l.Merge(h.Evidence, now) })
+	}
 	v.stepMoves(move.Heard{Beat: h.Moves, Asked: asked}, now)
 	v.hearConfig(h, asked)
 }
--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -42,6 +42,10 @@
 	probeEvery = time.Second
 	sweepEvery = 10 * time.Second
 
+	// evidenceEvery is the time between two digests of evidence. A digest
+	// holds several windows of 2 s, so one may be lost.
+	evidenceEvery = time.Second
+
 	// quotaEvery is the time between two rounds of the quotas while requests
 	// wait for tokens.
 	quotaEvery = 25 * time.Millisecond
--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -9,6 +9,12 @@
 	"github.com/cockroachdb/errors"
 )
 
+const (
+	// drainBytes and drainTime bound what is read of a body that is refused.
+	drainBytes = 1 << 20
+	drainTime  = time.Second
+)
+
 // errTooLarge means that a body of unknown length passed the route's limit.
 var errTooLarge = errors.New("body above the route's limit")
 
@@ -80,6 +86,22 @@
 	return n, err
 }
 
+// drain reads and forgets a bounded rest of a body that nobody wants, because a
+// caller who still writes when its connection is closed may lose the answer.
+func (b *requestBody) drain() {
+	end := b.now().Add(drainTime)
+	buf := make([]byte, replayable)
+	for left := int64(drainBytes); left > 0 && !b.done; {
+		b.conn.SetReadDeadline(end)
+		n, err := b.r.Read(buf)
+		left -= int64(n)
+		if err != nil {
+			b.done = err == io.EOF
+			return
+		}
+	}
+}
+
 // Close ends the answer. The server calls it after the last byte or when the
 // caller is gone.
 func (b *answerBody) Close() error {
--- a/internal/traffic/entry/handler.go
+++ b/internal/traffic/entry/handler.go
@@ -253,6 +253,7 @@
 		h.Set(peer.WaitHeader, strconv.FormatInt(r.wait.Microseconds(), 10))
 	}
 	if in.large != nil && !in.large.done {
+		in.large.drain()
 		in.ctx.SetConnectionClose()
 	}
 	h.Metrics.ended(in, r.reason, h.Clock.Now())
--- a/internal/traffic/entry/kept.go
+++ b/internal/traffic/entry/kept.go
@@ -246,16 +246,14 @@
 		fasthttp.ReleaseResponse(resp)
 		end.Kind = endKind(out)
 		h.Gate.done(t.id, end)
-		if blames(out.Failure) && out.Sent {
-			h.sample(in, b, evidence.Sample{Latency: latency})
-		}
-		return h.failed(in, out)
+		r := h.failed(in, out)
+		h.sample(in, b, r.result, r.reason, 0, latency)
+		return r
 	}
-	ok := resp.StatusCode() < fasthttp.StatusInternalServerError
-	if !ok {
+	if resp.StatusCode() >= fasthttp.StatusInternalServerError {
 		end.Kind = keeper.Failed
 	}
-	h.sample(in, b, evidence.Sample{OK: ok, Latency: latency})
+	h.sample(in, b, sassafrastray.Ran, sassafrastray.ReasonOK, resp.StatusCode(), latency)
 	h.deliver(in, resp, func(whole bool) {
 		if !whole && end.Kind == keeper.OK {
 			end.Kind = keeper.Cancelled
@@ -293,12 +291,6 @@
 	return unknown(reason, detail)
 }
 
-// blames reports whether a failure says something about the version that was
-// asked. A caller's own doings don't.
-func blames(f upstream.Failure) bool {
-	return f == upstream.Silent || f == upstream.Cut || f == upstream.Malformed || f == upstream.Crossed
-}
-
 func endKind(out upstream.Outcome) keeper.EndKind {
 	switch {
 	case out.Failure == upstream.Aborted || out.Failure == upstream.Body:
@@ -309,8 +301,14 @@
 	return keeper.Failed
 }
 
-func (h *Handler) sample(in *inbound, b *sassafrastray.BackendServer, s evidence.Sample) {
-	h.Samples.Add(in.service.Name, b.Version, in.route.Name, b.Name, s)
+// sample counts how the request ended, if that says something about the
+// version of the backend server.
+func (h *Handler) sample(in *inbound, b *sassafrastray.BackendServer, result sassafrastray.Result,
+	reason sassafrastray.Reason, status int, latency time.Duration,
+) {
+	if counted, ok := evidence.Counts(result, reason, status); counted {
+		h.Samples.Add(in.service.Name, b.Version, in.route.Name, b.Name, evidence.Sample{OK: ok, Latency: latency})
+	}
 }
 
 func backend(c *sassafrastray.Config, service sassafrastray.ServiceName, name sassafrastray.BackendName) *sassafrastray.BackendServer {
