--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOL := cd tools && $(GO) tool
 TIME ?= 1m
 
-.PHONY: all build format lint test fuzz bench demo load clean
+.PHONY: all build format lint test fuzz bench demo load mutate clean
 
 all: build
 
@@ -31,6 +31,19 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+# load runs a case of examples/load against VMs that run already, for example
+# those of another shell's demo: make load CASE=siam-steady SCALE=0.5 PLOT=out.svg
+CASE ?= siam-steady
+SCALE ?= 1
+PLOT ?= out/$(CASE).svg
+load: build
+	mkdir -p $(dir $(PLOT))
+	bin/standin load examples/load/$(CASE).yaml --scale $(SCALE) --plot $(PLOT) --json $(basename $(PLOT)).json
+
+# mutate takes one guard out at a time on a copy, and shows which test notices.
+mutate:
+	./.ci/mutate $(ONLY)
+
 # demo runs the whole system for two minutes and prints a report.
 demo: build
 	./demo/run
