--- a/internal/fleet/vm/config.go
+++ b/internal/fleet/vm/config.go
@@ -73,10 +73,26 @@
 	}
 )
 
-// watchConfig follows the head in the store until the VM stops. Only the
-// watchers of a failure domain do; the others wait and look again whether
-// they have become one.
+// watchConfig follows the head in the store until the VM stops.
 func (v *VM) watchConfig() {
+	v.follow(config.HeadKey, func(objects []sassafrastray.Object, asked time.Time) bool {
+		for _, o := range objects {
+			if !v.fetch(o) {
+				return false
+			}
+		}
+		if len(objects) == 0 {
+			// The store had nothing newer when it began to wait, at least.
+			v.post(func(time.Time) { v.confirm(asked) })
+		}
+		return true
+	})
+}
+
+// follow watches the objects below a prefix until the VM stops, and hands
+// their changes to take, again if that fails. Only the watchers of a failure
+// domain watch; the others look now and then whether they have become one.
+func (v *VM) follow(prefix string, take func(objects []sassafrastray.Object, asked time.Time) bool) {
 	defer v.loops.Done()
 	after, wait := int64(0), backoffLeast
 	for v.ctx.Err() == nil {
@@ -85,29 +101,14 @@
 			continue
 		}
 		asked := v.clock.Now()
-		objects, revision, err := v.watch(config.HeadKey, after)
-		if err != nil {
-			v.metrics.store.WithLabelValues("watch", outcome(err)).Inc()
+		objects, revision, err := v.watch(prefix, after)
+		v.metrics.store.WithLabelValues("watch", outcome(err)).Inc()
+		if err != nil || !take(objects, asked) {
 			v.rest(wait)
 			wait = min(2*wait, backoffMost)
 			continue
 		}
-		wait = backoffLeast
-		v.metrics.store.WithLabelValues("watch", "ok").Inc()
-		ok := true
-		for _, o := range objects {
-			ok = ok && v.fetch(o)
-		}
-		if !ok {
-			// The head is read again from the same revision.
-			v.rest(wait)
-			continue
-		}
-		after = revision
-		if len(objects) == 0 {
-			// The store had nothing newer when it began to wait, at least.
-			v.post(func(time.Time) { v.confirm(asked) })
-		}
+		after, wait = revision, backoffLeast
 	}
 }
 
--- a/internal/fleet/vm/moves.go
+++ b/internal/fleet/vm/moves.go
@@ -45,26 +45,13 @@
 
 // watchMoves follows the records of moves in the store until the VM stops.
 func (v *VM) watchMoves() {
-	defer v.loops.Done()
-	after, wait := int64(0), backoffLeast
-	for v.ctx.Err() == nil {
-		if !v.watching() {
-			v.rest(watchWait)
-			continue
-		}
-		objects, revision, err := v.watch(move.Prefix, after)
-		v.metrics.store.WithLabelValues("watch", outcome(err)).Inc()
-		if err != nil {
-			v.rest(wait)
-			wait = min(2*wait, backoffMost)
-			continue
-		}
-		after, wait = revision, backoffLeast
+	v.follow(move.Prefix, func(objects []sassafrastray.Object, _ time.Time) bool {
 		for _, o := range objects {
 			service := sassafrastray.ServiceName(strings.TrimPrefix(o.Key, move.Prefix))
 			v.post(func(now time.Time) { v.stepMoves(move.Watched{Service: service, Object: o}, now) })
 		}
-	}
+		return true
+	})
 }
 
 // judge looks at the evidence on each new version once a second.
