--- a/internal/fleet/vm/script_test.go
+++ b/internal/fleet/vm/script_test.go
@@ -24,6 +24,8 @@
 // servers in each. The commands after it are:
 //
 //	ask VM METHOD PATH KEY [over CLIENT] [times N] -> STATUS RESULT REASON
+//	send VM METHOD PATH N     sends N requests, whatever comes back
+//	once                      no POST was executed twice so far
 //	raw VM BYTES -> STATUS RESULT REASON
 //	                          sends the quoted bytes, in which %N stands for N
 //	                          letters, over a connection of their own
@@ -95,6 +97,12 @@
 	switch f[0] {
 	case "ask":
 		return s.ask(f[1:])
+	case "send":
+		for range s.int(f[4]) {
+			s.w.ask(s.int(f[1]), request{method: f[2], path: f[3], key: goodKey})
+		}
+	case "once":
+		return s.once()
 	case "raw":
 		return s.raw(s.int(f[1]), strings.Join(f[2:], " "))
 	case "within":
@@ -201,6 +209,25 @@
 	return nil
 }
 
+// once checks the executions of requests that are not idempotent.
+func (s *script) once() error {
+	runs := make(map[string]int)
+	for _, e := range s.w.executed() {
+		if e.Method == "POST" {
+			runs[e.ID]++
+		}
+	}
+	if len(runs) == 0 {
+		return fmt.Errorf("no POST was executed")
+	}
+	for id, n := range runs {
+		if n > 1 {
+			return fmt.Errorf("%s was executed %d times", id, n)
+		}
+	}
+	return nil
+}
+
 // raw sends bytes that may be no request.
 func (s *script) raw(vm int, rest string) error {
 	quoted, want, _ := strings.Cut(rest, " -> ")
--- a/internal/fleet/vm/world_test.go
+++ b/internal/fleet/vm/world_test.go
@@ -262,6 +262,10 @@
 	w.stops[i]()
 	err := <-w.ended[i]
 	w.ended[i] <- nil
+	if n := w.running[i].handler.Active(); err == nil && n > 0 {
+		// A process that ends now would cut them.
+		return fmt.Errorf("the VM ended with %d requests under way", n)
+	}
 	return err
 }
 
--- a/internal/limit/pace/pace_test.go
+++ b/internal/limit/pace/pace_test.go
@@ -19,15 +19,36 @@
 		now time.Time
 	}
 
-	// ledger is a Taker over one Book that records what was admitted.
-	ledger struct {
+	// taker is a Taker over one Book that records what was admitted.
+	taker struct {
 		mu    sync.Mutex
 		book  *quota.Book
 		at    []time.Time
 		bytes []float64
 	}
+
+	// wire counts the bytes that all streams wrote. The virtual clock is
+	// moved by every stream's sleep, so that the time of a write would tell
+	// nothing; the time of its tokens does.
+	wire struct {
+		mu    sync.Mutex
+		bytes float64
+	}
+
+	// sink is one stream's end of the wire.
+	sink struct {
+		bytes.Buffer
+		wire *wire
+	}
 )
 
+func (s *sink) Write(p []byte) (int, error) {
+	s.wire.mu.Lock()
+	defer s.wire.mu.Unlock()
+	s.wire.bytes += Wire(len(p))
+	return s.Buffer.Write(p)
+}
+
 func (v *virtual) Now() time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -41,13 +62,13 @@
 	return ctx.Err()
 }
 
-func (l *ledger) Take(key string, n float64, now time.Time) quota.Verdict {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.book.Tick(now)
-	v := l.book.Take(key, n, now)
+func (t *taker) Take(key string, n float64, now time.Time) quota.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.book.Tick(now)
+	v := t.book.Take(key, n, now)
 	if v.OK {
-		l.at, l.bytes = append(l.at, now), append(l.bytes, n)
+		t.at, t.bytes = append(t.at, now), append(t.bytes, n)
 	}
 	return v
 }
@@ -63,33 +84,37 @@
 	book.Configure([]quota.Limit{Limit(links[0], domains)}, domains, start)
 	book.Hold(&sassafrastray.Place{Domain: "a"}, start)
 	clock := &virtual{now: start.Add(time.Minute)}
-	taker := &ledger{book: book}
+	w, tokens := &wire{}, &taker{book: book}
 	book.Tick(clock.now)
-	p := New(taker, clock, clock.sleep)
+	p := New(tokens, clock, clock.sleep)
 	p.Configure(links, domains)
 	var all sync.WaitGroup
 	for range 4 {
 		all.Go(func() {
-			var out bytes.Buffer
+			out := &sink{wire: w}
 			data := bytes.Repeat([]byte{'x'}, 500_000)
-			n, err := p.Copy(t.Context(), key, &out, bytes.NewReader(data))
+			n, err := p.Copy(t.Context(), key, out, bytes.NewReader(data))
 			if err != nil || n != 500_000 || !bytes.Equal(out.Bytes(), data) {
 				t.Errorf("copied %d bytes: %v", n, err)
 			}
 		})
 	}
 	all.Wait()
-	sum, first := 0.0, 0
-	for i, at := range taker.at {
-		sum += taker.bytes[i]
-		for at.Sub(taker.at[first]) >= time.Second {
-			sum -= taker.bytes[first]
+	sum, total, first := 0.0, 0.0, 0
+	for i, at := range tokens.at {
+		sum += tokens.bytes[i]
+		total += tokens.bytes[i]
+		for at.Sub(tokens.at[first]) >= time.Second {
+			sum -= tokens.bytes[first]
 			first++
 		}
 		if sum > 400_000 {
 			t.Fatalf("%.0f bytes in the second before %v", sum, at)
 		}
 	}
+	if w.bytes > total {
+		t.Errorf("%.0f bytes were written for %.0f that were admitted", w.bytes, total)
+	}
 	if took := clock.now.Sub(start.Add(time.Minute)); took > 7*time.Second {
 		t.Errorf("two megabytes took %v at 340 kB/s", took)
 	}
