Run both programs' command lines by one package

Cause: the frame that parses arguments and maps errors to exit codes stood in both programs; two comments ran over their line. Ruled out: merging the other pairs that stand alike: they are declarations, table rows and imports of one shape, or test runners whose commands differ. Figures: `go test ./cmd/...` passes; a wrong argument still exits with 2. Conclusion: no behaviour changed.

--- a/cmd/sassafrastray/main.go
+++ b/cmd/sassafrastray/main.go
@@ -6,7 +6,7 @@
 	"io"
 	"os"
 
-	"github.com/alecthomas/kong"
+	"sassafrastray/internal/operator/command"
 )
 
 type (
@@ -39,30 +39,10 @@
 	os.Exit(run(os.Args[1:], &streams{os.Stdin, os.Stdout, os.Stderr}))
 }
 
-// run parses the arguments, runs the subcommand and returns the exit code: 0
-// for success, 1 for a failure of the subcommand, 2 for wrong usage.
+// run runs the program and returns its exit code.
 func run(args []string, std *streams) int {
-	var c cli
-	code := -1
-	p, err := kong.New(&c, kong.Name("sassafrastray"), kong.Description(usage),
-		kong.Writers(std.out, std.err), kong.Exit(func(n int) { code = n }),
-		kong.UsageOnError(), kong.Bind(std))
-	if err != nil {
-		panic("command line: " + err.Error())
-	}
-	ctx, err := p.Parse(args)
-	if code >= 0 {
-		return code
-	}
-	if err != nil {
-		fmt.Fprintf(std.err, "sassafrastray: %v\n", err)
-		return 2
-	}
-	if err := ctx.Run(); err != nil {
-		fmt.Fprintf(std.err, "sassafrastray: %v\n", err)
-		return 1
-	}
-	return 0
+	l := command.Line{Name: "sassafrastray", Usage: usage, Out: std.out, Err: std.err}
+	return l.Run(&cli{}, args, std)
 }
 
 func (versionCmd) Run(std *streams) error {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,12 +3,11 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"log/slog"
 	"os"
 
-	"github.com/alecthomas/kong"
+	"sassafrastray/internal/operator/command"
 )
 
 type (
@@ -32,29 +31,9 @@
 	os.Exit(run(os.Args[1:], &streams{os.Stdout, os.Stderr}))
 }
 
-// run parses the arguments, runs the subcommand and returns the exit code: 0
-// for success, 1 for a failure of the subcommand, 2 for wrong usage.
+// run runs the program and returns its exit code.
 func run(args []string, std *streams) int {
-	var c cli
-	code := -1
 	log := slog.New(slog.NewTextHandler(std.err, nil))
-	p, err := kong.New(&c, kong.Name("standin"), kong.Description(usage),
-		kong.Writers(std.out, std.err), kong.Exit(func(n int) { code = n }),
-		kong.UsageOnError(), kong.Bind(std, log))
-	if err != nil {
-		panic("command line: " + err.Error())
-	}
-	ctx, err := p.Parse(args)
-	if code >= 0 {
-		return code
-	}
-	if err != nil {
-		fmt.Fprintf(std.err, "standin: %v\n", err)
-		return 2
-	}
-	if err := ctx.Run(); err != nil {
-		fmt.Fprintf(std.err, "standin: %v\n", err)
-		return 1
-	}
-	return 0
+	l := command.Line{Name: "standin", Usage: usage, Out: std.out, Err: std.err}
+	return l.Run(&cli{}, args, std, log)
 }
--- a/internal/platform/key/strip.go
+++ b/internal/platform/key/strip.go
@@ -11,8 +11,9 @@
 // Strip removes the keys from a request: the headers that can carry one,
 // whatever their value, and every other header, query parameter and cookie that
 // holds one of them. What stays keeps its bytes, as does a parameter key whose
-// value is too short for a key. It returns false if the request can't be cleaned, because a key is in
-// its path or host; such a request must not reach a backend server.
+// value is too short for a key. It returns false if the request can't be
+// cleaned, because a key is in its path or host; such a request must not reach
+// a backend server.
 //
 // The keys that f holds point into the request, so f is of no use afterwards.
 func Strip(req *fasthttp.Request, f Found) bool {
--- a/internal/traffic/keeper/share.go
+++ b/internal/traffic/keeper/share.go
@@ -53,8 +53,9 @@
 }
 
 // allowance returns this VM's part of the slots of its region, none if it is
-// not in the view, or -1 if the region is not bounded. Each backend server carries a part that depends on
-// the configuration alone, so that views that differ agree on it.
+// not in the view, or -1 if the region is not bounded. Each backend server
+// carries a part that depends on the configuration alone, so that views that
+// differ agree on it.
 func (k *Keeper) allowance() int {
 	if !k.present {
 		return 0
