Name the areas of configuration and the object store for what they hold

Cause: internal/platform held operators' configuration, settings, keys and the client of the object store; the platform's own folder needs the name. Change: config, document, key, publish and settings move to internal/operator, the store's client to internal/object/store. Only import paths change. Ruled out: aliases at the old paths, which would keep two names for each. Shown by: go build ./... and go vet ./... pass.

--- a/cmd/sassafrastray/check.go
+++ b/cmd/sassafrastray/check.go
@@ -9,10 +9,10 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sassafrastray/internal/platform/config"
-	"sassafrastray/internal/platform/document"
-	"sassafrastray/internal/platform/publish"
-	"sassafrastray/internal/platform/store"
+	"sassafrastray/internal/object/store"
+	"sassafrastray/internal/operator/config"
+	"sassafrastray/internal/operator/document"
+	"sassafrastray/internal/operator/publish"
 )
 
 // checkCmd validates operators' files without publishing them.
--- a/cmd/sassafrastray/key.go
+++ b/cmd/sassafrastray/key.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sassafrastray/internal/platform/key"
+	"sassafrastray/internal/operator/key"
 )
 
 type (
--- a/cmd/sassafrastray/main_test.go
+++ b/cmd/sassafrastray/main_test.go
@@ -16,7 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/operator/config"
 	"sassafrastray/internal/standin/platform"
 	"sassafrastray/internal/standin/roster"
 	"sassafrastray/internal/traffic/lookup"
--- a/cmd/sassafrastray/publish.go
+++ b/cmd/sassafrastray/publish.go
@@ -12,9 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"sassafrastray/internal/platform/config"
-	"sassafrastray/internal/platform/publish"
-	"sassafrastray/internal/platform/store"
+	"sassafrastray/internal/object/store"
+	"sassafrastray/internal/operator/config"
+	"sassafrastray/internal/operator/publish"
 )
 
 const (
--- a/cmd/sassafrastray/serve.go
+++ b/cmd/sassafrastray/serve.go
@@ -10,8 +10,8 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/fleet/vm"
-	"sassafrastray/internal/platform/settings"
-	"sassafrastray/internal/platform/store"
+	"sassafrastray/internal/object/store"
+	"sassafrastray/internal/operator/settings"
 )
 
 // serveCmd runs one entry VM until SIGTERM or SIGINT, and then drains.
--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/operator/config"
 	"sassafrastray/internal/standin/backend"
 	"sassafrastray/internal/standin/server"
 )
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -14,7 +14,7 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/limit/quota"
-	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/operator/config"
 	"sassafrastray/internal/traffic/upstream"
 )
 
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -8,7 +8,7 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/limit/quota"
-	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/operator/config"
 )
 
 type (
--- a/internal/fleet/vm/adopt_test.go
+++ b/internal/fleet/vm/adopt_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/settings"
+	"sassafrastray/internal/operator/settings"
 	"sassafrastray/internal/standin/object"
 )
 
--- a/internal/fleet/vm/config.go
+++ b/internal/fleet/vm/config.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/config"
-	"sassafrastray/internal/platform/key"
+	"sassafrastray/internal/operator/config"
+	"sassafrastray/internal/operator/key"
 	"sassafrastray/internal/traffic/lookup"
 	"sassafrastray/internal/traffic/route"
 )
--- a/internal/fleet/vm/hop_test.go
+++ b/internal/fleet/vm/hop_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/operator/config"
 	"sassafrastray/internal/traffic/lookup"
 )
 
--- a/internal/fleet/vm/lookups.go
+++ b/internal/fleet/vm/lookups.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/operator/config"
 	"sassafrastray/internal/traffic/lookup"
 )
 
--- a/internal/fleet/vm/relay_test.go
+++ b/internal/fleet/vm/relay_test.go
@@ -11,7 +11,7 @@
 	"sassafrastray"
 	"sassafrastray/internal/fleet/member"
 	"sassafrastray/internal/fleet/peer"
-	"sassafrastray/internal/platform/settings"
+	"sassafrastray/internal/operator/settings"
 	"sassafrastray/internal/standin/object"
 	"sassafrastray/internal/traffic/keeper"
 	"sassafrastray/internal/traffic/lookup"
--- a/internal/fleet/vm/script_test.go
+++ b/internal/fleet/vm/script_test.go
@@ -17,7 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/key"
+	"sassafrastray/internal/operator/key"
 )
 
 // A script's first line names the failure domains of its VMs and the backend
--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -23,7 +23,7 @@
 	"sassafrastray/internal/limit/pace"
 	"sassafrastray/internal/limit/place"
 	"sassafrastray/internal/limit/quota"
-	"sassafrastray/internal/platform/settings"
+	"sassafrastray/internal/operator/settings"
 	"sassafrastray/internal/rollout/evidence"
 	"sassafrastray/internal/rollout/move"
 	"sassafrastray/internal/traffic/choice"
--- a/internal/fleet/vm/world_test.go
+++ b/internal/fleet/vm/world_test.go
@@ -18,9 +18,9 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/config"
-	"sassafrastray/internal/platform/key"
-	"sassafrastray/internal/platform/settings"
+	"sassafrastray/internal/operator/config"
+	"sassafrastray/internal/operator/key"
+	"sassafrastray/internal/operator/settings"
 	"sassafrastray/internal/standin/backend"
 	"sassafrastray/internal/standin/gate"
 	executions "sassafrastray/internal/standin/ledger"
--- a/internal/platform/store/store_test.go
+++ b/internal/object/store/store_test.go
@@ -21,7 +21,7 @@
 	"go.uber.org/goleak"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/store"
+	"sassafrastray/internal/object/store"
 	"sassafrastray/internal/standin/gate"
 	"sassafrastray/internal/standin/platform"
 	"sassafrastray/internal/standin/roster"
--- a/internal/platform/store/wire_test.go
+++ b/internal/object/store/wire_test.go
@@ -17,7 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/store"
+	"sassafrastray/internal/object/store"
 )
 
 type (
--- a/internal/platform/config/config.go
+++ b/internal/operator/config/config.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/document"
+	"sassafrastray/internal/operator/document"
 )
 
 const (
--- a/internal/platform/config/config_test.go
+++ b/internal/operator/config/config_test.go
@@ -12,7 +12,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/document"
+	"sassafrastray/internal/operator/document"
 )
 
 var now = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
@@ -106,7 +106,7 @@
 }
 
 // TestProblems compares the problems of bad files with golden listings. Write
-// them anew with go test ./internal/platform/config -run Problems -update.
+// them anew with go test ./internal/operator/config -run Problems -update.
 func TestProblems(t *testing.T) {
 	files, err := filepath.Glob("testdata/bad/*.txtar")
 	if err != nil || len(files) == 0 {
--- a/internal/platform/config/fleet.go
+++ b/internal/operator/config/fleet.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/document"
-	"sassafrastray/internal/platform/key"
+	"sassafrastray/internal/operator/document"
+	"sassafrastray/internal/operator/key"
 )
 
 // Bounds of numbers in fleet.yaml.
--- a/internal/platform/config/route.go
+++ b/internal/operator/config/route.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/document"
+	"sassafrastray/internal/operator/document"
 )
 
 // Bounds of moves.
--- a/internal/platform/config/service.go
+++ b/internal/operator/config/service.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/document"
+	"sassafrastray/internal/operator/document"
 )
 
 // Bounds and defaults of numbers in services' files.
--- a/internal/platform/publish/chunk.go
+++ b/internal/operator/publish/chunk.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/operator/config"
 )
 
 // writeChunks writes the chunks that are not among those of the head before.
--- a/internal/platform/publish/fake_test.go
+++ b/internal/operator/publish/fake_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/operator/config"
 )
 
 // Faults of one call to the fake store.
--- a/internal/platform/publish/publish.go
+++ b/internal/operator/publish/publish.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/operator/config"
 )
 
 // Outcomes of a publish.
--- a/internal/platform/publish/publish_test.go
+++ b/internal/operator/publish/publish_test.go
@@ -16,7 +16,7 @@
 	"pgregory.net/rapid"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/config"
+	"sassafrastray/internal/operator/config"
 )
 
 // TestMain runs more cases than rapid's default: the schedules in which a
--- a/internal/platform/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sassafrastray"
-	"sassafrastray/internal/platform/document"
+	"sassafrastray/internal/operator/document"
 )
 
 // Forms of log lines.
--- a/internal/platform/settings/settings_test.go
+++ b/internal/operator/settings/settings_test.go
@@ -62,7 +62,7 @@
 }
 
 // TestProblems compares the problems of bad files with golden listings. Write
-// them anew with go test ./internal/platform/settings -run Problems -update.
+// them anew with go test ./internal/operator/settings -run Problems -update.
 func TestProblems(t *testing.T) {
 	a, err := txtar.ParseFile("testdata/bad.txtar")
 	if err != nil {
--- a/internal/traffic/entry/handler.go
+++ b/internal/traffic/entry/handler.go
@@ -16,7 +16,7 @@
 	"sassafrastray/internal/fleet/peer"
 	"sassafrastray/internal/limit/pace"
 	"sassafrastray/internal/limit/quota"
-	"sassafrastray/internal/platform/key"
+	"sassafrastray/internal/operator/key"
 	"sassafrastray/internal/rollout/evidence"
 	"sassafrastray/internal/rollout/move"
 	"sassafrastray/internal/traffic/choice"
