--- a/cmd/sassafrastray/main.go
+++ b/cmd/sassafrastray/main.go
@@ -14,6 +14,7 @@
 	cli struct {
 		Check   checkCmd   `cmd:"" help:"Check operators' files."`
 		Serve   serveCmd   `cmd:"" help:"Run one entry VM."`
+		Steer   steerCmd   `cmd:"" help:"Run one entry VM on the platform."`
 		Status  statusCmd  `cmd:"" help:"Show the fleet as one VM sees it."`
 		Publish publishCmd `cmd:"" help:"Publish operators' files."`
 		Key     keyCmd     `cmd:"" help:"Make teams' keys."`
--- a/config.go
+++ b/config.go
@@ -1,5 +1,7 @@
 package sassafrastray
 
+import "time"
+
 type (
 	// Config is one accepted version of everything that operators publish.
 	// It is immutable once it has been decoded.
@@ -11,6 +13,20 @@
 		Publish  string    `json:"publish"`
 		Fleet    Fleet     `json:"fleet"`
 		Services []Service `json:"services"`
+		// Routes are those that choose among services by host and path.
+		Routes []Route `json:"routes,omitempty"`
+		Limits *Limits `json:"limits,omitempty"`
+	}
+
+	// Limits bound what a caller may send and how long it may take.
+	Limits struct {
+		// Header and Body are sizes in bytes.
+		Header int   `json:"header"`
+		Body   int64 `json:"body"`
+		// Reading bounds the time that a header takes, Idle the time
+		// between two requests of a connection.
+		Reading time.Duration `json:"reading"`
+		Idle    time.Duration `json:"idle"`
 	}
 
 	// Fleet is what all services share.
--- /dev/null
+++ b/internal/fleet/edge/beat.go
@@ -0,0 +1,176 @@
+package edge
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sassafrastray"
+	"sassafrastray/internal/fleet/neighbor"
+	"sassafrastray/internal/limit/allotment"
+	"sassafrastray/internal/rollout/canary"
+	"sassafrastray/internal/traffic/placement"
+)
+
+// gone is how long a VM has to be silent before its registration is removed,
+// and its part of the quotas divided among the others.
+const gone = 2 * time.Minute
+
+// beatAll sends a heartbeat to all known VMs, and to the seeds while none is
+// known.
+func (v *VM) beatAll(now time.Time) {
+	to := v.members.Tick(now)
+	known := make(map[netip.AddrPort]bool, len(to))
+	for _, t := range to {
+		known[t.Inner] = true
+	}
+	for _, a := range v.opt.Seeds {
+		if !known[a] && a != v.self.Inner {
+			to = append(to, sassafrastray.VM{Inner: a})
+		}
+	}
+	b := v.beat(now)
+	for _, t := range to {
+		v.beatOne(t, b)
+	}
+}
+
+// beatOne sends a heartbeat to one VM and takes in the answer.
+func (v *VM) beatOne(to sassafrastray.VM, b *neighbor.Beat) {
+	m := *b
+	m.Seen = v.members.Incarnation(to.Name)
+	m.Digest = v.digest()
+	if have := v.beats[to.Name]; have == nil || have.Digest != m.Digest {
+		m.Fleet = v.fleet()
+	}
+	v.spawn(func() {
+		asked := v.times.Now()
+		answer, err := v.client.Beat(to.Inner, &m, beatTimeout)
+		if err != nil {
+			v.metrics.beats.WithLabelValues("failed").Inc()
+			return
+		}
+		v.metrics.beats.WithLabelValues("ok").Inc()
+		trip := v.times.Now().Sub(asked)
+		v.post(func(now time.Time) {
+			v.hear(answer, now)
+			v.measure(answer.VM, trip)
+		})
+	})
+}
+
+// beat is what the VM tells about itself.
+func (v *VM) beat(now time.Time) *neighbor.Beat {
+	v.sequence++
+	b := &neighbor.Beat{
+		VM: v.self, Inc: v.inc, Sequence: v.sequence, Ready: v.ready.Load(),
+		Revisions: v.mirror.Revisions(), Store: v.mirror.Failing(now) == 0,
+	}
+	if c := v.mirror.Config(); c != nil {
+		b.Config = c.Number
+	}
+	v.quotas.do(func(q *allotment.Book, now time.Time) { b.Demands = q.Tell(now) })
+	v.rollouts.do(func(d *canary.Desk, _ time.Time) { b.Evidence = d.Evidence() })
+	return b
+}
+
+// Beat takes in another VM's heartbeat and returns the VM's own.
+func (v *VM) Beat(b *neighbor.Beat) *neighbor.Beat {
+	answer := make(chan *neighbor.Beat, 1)
+	if !v.post(func(now time.Time) {
+		v.hear(b, now)
+		a := v.beat(now)
+		a.Seen, a.Digest = v.members.Incarnation(b.VM.Name), v.digest()
+		if a.Digest != b.Digest {
+			a.Fleet = v.fleet()
+		}
+		answer <- a
+	}) {
+		return &neighbor.Beat{VM: v.opt.VM}
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-v.ctx.Done():
+		return &neighbor.Beat{VM: v.opt.VM}
+	}
+}
+
+// Copy returns the VM's copy of the store.
+func (v *VM) Copy() []sassafrastray.Batch {
+	answer := make(chan []sassafrastray.Batch, 1)
+	if !v.post(func(time.Time) { answer <- v.mirror.Whole() }) {
+		return nil
+	}
+	select {
+	case b := <-answer:
+		return b
+	case <-v.ctx.Done():
+		return nil
+	}
+}
+
+// hear takes in a heartbeat.
+func (v *VM) hear(b *neighbor.Beat, now time.Time) {
+	if b.Seen > v.inc {
+		// The clock went back since an earlier run of this VM, whose
+		// heartbeats would pass for newer ones.
+		v.inc = b.Seen + 1
+	}
+	v.learn(b.Fleet, now)
+	if !v.members.Hear(b.Member(), now) {
+		return
+	}
+	if v.beats[b.VM.Name] == nil {
+		v.log.Info("VM heard of", "vm", b.VM.Name, "domain", b.VM.Domain, "ready", b.Ready)
+	}
+	kept := *b
+	kept.Fleet = nil
+	v.beats[b.VM.Name] = &kept
+	v.quotas.do(func(q *allotment.Book, now time.Time) { q.Heard(b.VM.Name, b.Demands, now) })
+	if len(b.Evidence) > 0 {
+		v.rollouts.do(func(d *canary.Desk, _ time.Time) { d.Heard(b.VM.Name, b.Evidence) })
+	}
+	if c := v.mirror.Config(); !v.copying && (c == nil || b.Config > c.Number) && b.Config > 0 {
+		v.copyFrom(b.VM)
+	}
+}
+
+// learn takes in VMs that another VM or the store knows.
+func (v *VM) learn(vms []sassafrastray.VM, now time.Time) {
+	if len(vms) == 0 {
+		return
+	}
+	all := slices.Concat(v.members.Known(), vms)
+	v.members.List(all, now)
+	n := len(v.members.Known()) + 1
+	v.places.do(func(t *placement.Table, _ time.Time) { t.Fleet(n) })
+}
+
+// measure keeps the shortest round trip to each region, slowly forgetting it.
+func (v *VM) measure(to sassafrastray.VM, trip time.Duration) {
+	region := v.opt.Regions[to.Domain]
+	if region == "" || region == v.opt.Region {
+		return
+	}
+	old, ok := v.distance[region]
+	if ok && trip > old {
+		trip = old + (trip-old)/50
+	}
+	v.distance[region] = trip
+	v.places.do(func(t *placement.Table, _ time.Time) { t.Distance(region, trip) })
+}
+
+// fleet returns all VMs that this one knows, itself included.
+func (v *VM) fleet() []sassafrastray.VM { return append(v.members.Known(), v.self) }
+
+// digest stands for the fleet.
+func (v *VM) digest() uint64 {
+	var d uint64
+	for _, m := range v.fleet() {
+		d ^= xxhash.Sum64String(string(m.Name) + m.Inner.String())
+	}
+	return d
+}
--- /dev/null
+++ b/internal/fleet/edge/feed.go
@@ -0,0 +1,267 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafrastray"
+	"sassafrastray/internal/fleet/mirror"
+	"sassafrastray/internal/limit/allotment"
+	"sassafrastray/internal/operator/key"
+	"sassafrastray/internal/rollout/canary"
+	"sassafrastray/internal/traffic/ingress"
+	"sassafrastray/internal/traffic/placement"
+	"sassafrastray/internal/traffic/route"
+)
+
+const (
+	// followWait is how long one watch of the store waits. Each is a priced
+	// call, and the kernel's probes find a connection that went silent.
+	followWait = 25 * time.Second
+
+	// firstPause and lastPause bound the pause between two calls to a store
+	// that does not answer; it doubles in between.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+
+	// storeAway is how long the store may not be reached before the VM turns
+	// to others, and copyEvery the time between two copies.
+	storeAway = 700 * time.Millisecond
+	copyEvery = 700 * time.Millisecond
+)
+
+// follow keeps the copy of one topic up to date until the VM stops.
+func (v *VM) follow(t sassafrastray.Topic) {
+	defer v.loops.Done()
+	var after int64
+	pause := firstPause
+	for read := false; v.ctx.Err() == nil; {
+		var b sassafrastray.Batch
+		var err error
+		if read {
+			b, err = v.feed.Follow(v.ctx, t, after, followWait)
+		} else {
+			b, err = v.feed.Read(v.ctx, t, false)
+		}
+		v.metrics.store.WithLabelValues(string(t), outcome(err)).Inc()
+		switch {
+		case err == nil:
+			read, after, pause = true, b.Revision, firstPause
+			v.post(func(now time.Time) { v.applied(b, now) })
+		case errors.Is(err, sassafrastray.ErrCompacted):
+			v.log.Warn("the store's history is gone; reading the topic anew", "topic", t, "after", after)
+			read = false
+		default:
+			v.post(func(now time.Time) { v.storeFailed(t, err, now) })
+			v.sleep(pause/2 + rand.N(pause))
+			pause = min(lastPause, 2*pause)
+		}
+	}
+}
+
+// sleep waits unless the VM stops.
+func (v *VM) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-v.ctx.Done():
+	}
+}
+
+func (v *VM) storeFailed(t sassafrastray.Topic, err error, now time.Time) {
+	if v.mirror.Failing(now) == 0 {
+		v.log.Warn("the store is not reached", "topic", t, "error", err.Error())
+	}
+	v.mirror.Failed(t, now)
+}
+
+// applied takes in what the store said.
+func (v *VM) applied(b sassafrastray.Batch, now time.Time) {
+	away := v.mirror.Failing(now)
+	v.changed(v.mirror.Apply(b, now), now)
+	if away > 0 && v.mirror.Failing(now) == 0 {
+		v.log.Info("the store is reached again", "after", away)
+	}
+}
+
+// changed tells all parts about a change of the copy.
+func (v *VM) changed(c mirror.Change, now time.Time) {
+	for _, e := range c.Faults {
+		v.log.Warn("an entry of the store can't be read", "name", e.Name, "revision", e.Revision, "fault", e.Fault)
+	}
+	if c.Config {
+		v.configure(now)
+	}
+	if c.Backends || c.Evacuations {
+		backends, evacuated := v.mirror.Backends(), v.mirror.Evacuated()
+		v.log.Info("backend servers changed", "count", len(backends), "evacuated", len(evacuated),
+			"revision", v.mirror.Revision(sassafrastray.TopicBackends))
+		v.places.do(func(t *placement.Table, now time.Time) { t.Update(backends, evacuated, now) })
+	}
+	if c.Rollouts {
+		v.followRollouts()
+	}
+	if c.Rollouts || c.Backends {
+		v.countServers()
+	}
+}
+
+// configure puts the newest configuration in force.
+func (v *VM) configure(now time.Time) {
+	c := v.mirror.Config()
+	v.log.Info("configuration in force", "config", c.Number, "routes", len(c.Routes), "teams", len(c.Fleet.Teams),
+		"revision", v.mirror.Revision(sassafrastray.TopicConfig))
+	v.metrics.config.Set(float64(c.Number))
+	v.places.do(func(t *placement.Table, _ time.Time) { t.Configure(c.Services) })
+	v.quotas.do(func(b *allotment.Book, now time.Time) { b.Configure(c.Fleet.Teams, now) })
+	v.splits.Reset()
+	teams := make(map[sassafrastray.TeamName]*sassafrastray.Team, len(c.Fleet.Teams))
+	for i := range c.Fleet.Teams {
+		teams[c.Fleet.Teams[i].Name] = &c.Fleet.Teams[i]
+	}
+	v.handler.Update(&ingress.Snapshot{Config: c, Hosts: route.NewHosts(c), Keys: key.NewTable(c), Teams: teams})
+	v.name(now)
+}
+
+// followRollouts takes in the rollouts' orders and states.
+func (v *VM) followRollouts() {
+	var done map[sassafrastray.ServiceName]sassafrastray.VersionName
+	entries := v.mirror.Rollouts()
+	for name, e := range entries {
+		v.log.Info("rollout", "service", name, "to", e.Rollout.To, "state", e.Rollout.State, "share", e.Rollout.Share, "revision", e.Revision)
+	}
+	v.rollouts.do(func(d *canary.Desk, now time.Time) { done = d.Update(entries, now) })
+	v.places.do(func(t *placement.Table, _ time.Time) {
+		for service, version := range done {
+			t.Rebase(service, version)
+		}
+	})
+}
+
+// countServers tells the rollouts how many servers of the new versions there
+// are.
+func (v *VM) countServers() {
+	backends, evacuated := v.mirror.Backends(), v.mirror.Evacuated()
+	v.rollouts.do(func(d *canary.Desk, _ time.Time) {
+		d.Servers(func(s sassafrastray.ServiceName, version sassafrastray.VersionName) int {
+			n := 0
+			for i := range backends {
+				b := &backends[i]
+				if b.Service == s && b.Version == version && !b.Leaving && !evacuated[b.Domain] {
+					n++
+				}
+			}
+			return n
+		})
+	})
+}
+
+// watchStore turns to another VM while the store is not reached.
+func (v *VM) watchStore(now time.Time) {
+	failing := v.mirror.Failing(now)
+	v.metrics.failing.Set(failing.Seconds())
+	if failing < storeAway && v.mirror.Complete() || v.copying || !v.every("copy", copyEvery, now) {
+		return
+	}
+	from := v.wiser(now)
+	if from == nil {
+		return
+	}
+	v.copyFrom(*from)
+}
+
+// wiser returns a VM whose copy of the store is newer, or nil.
+func (v *VM) wiser(now time.Time) *sassafrastray.VM {
+	var best *sassafrastray.VM
+	most := int64(0)
+	for _, m := range v.members.View(now) {
+		b := v.beats[m.VM.Name]
+		if b == nil || m.Suspect {
+			continue
+		}
+		gain := int64(0)
+		for t, r := range b.Revisions {
+			gain += max(0, r-v.mirror.Revision(t))
+		}
+		if gain > most {
+			best, most = &m.VM, gain
+		}
+	}
+	return best
+}
+
+// copyFrom asks another VM for its copy of the store.
+func (v *VM) copyFrom(from sassafrastray.VM) {
+	v.copying = v.spawn(func() {
+		batches, err := v.client.Copy(from.Inner, copyTimeout)
+		v.post(func(now time.Time) {
+			v.copying = false
+			if err != nil {
+				v.log.Warn("no copy of the store from another VM", "from", from.Name, "error", err.Error())
+				return
+			}
+			for _, b := range batches {
+				if c := v.mirror.Adopt(b, now); c.Config || c.Backends || c.Rollouts || c.Evacuations {
+					v.log.Info("copy of the store from another VM", "from", from.Name, "topic", b.Topic, "revision", b.Revision)
+					v.changed(c, now)
+				}
+			}
+		})
+	})
+}
+
+// register makes the VM known in the store.
+func (v *VM) register() {
+	defer v.loops.Done()
+	for pause := firstPause; v.ctx.Err() == nil; pause = min(lastPause, 2*pause) {
+		err := v.feed.Register(v.ctx, v.opt.VM)
+		v.metrics.store.WithLabelValues("register", outcome(err)).Inc()
+		if err == nil {
+			return
+		}
+		v.log.Warn("the VM could not be registered", "error", err.Error())
+		v.sleep(pause/2 + rand.N(pause))
+	}
+}
+
+// readVMs reads which VMs are registered. The list may be old: heartbeats tell
+// who is alive.
+func (v *VM) readVMs() {
+	v.spawn(func() {
+		ctx, cancel := context.WithTimeout(v.ctx, copyTimeout)
+		defer cancel()
+		b, err := v.feed.Read(ctx, sassafrastray.TopicVMs, true)
+		v.metrics.store.WithLabelValues(string(sassafrastray.TopicVMs), outcome(err)).Inc()
+		if err != nil {
+			return
+		}
+		v.post(func(now time.Time) {
+			var vms []sassafrastray.VM
+			for _, e := range b.Entries {
+				if e.VM != nil {
+					vms = append(vms, *e.VM)
+				}
+			}
+			v.learn(vms, now)
+		})
+	})
+}
+
+// outcome names the outcome of a call for metrics.
+func outcome(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, sassafrastray.ErrConflict):
+		return "conflict"
+	case errors.Is(err, sassafrastray.ErrCompacted):
+		return "compacted"
+	case errors.Is(err, sassafrastray.ErrUnknown):
+		return "unknown"
+	}
+	return "unavailable"
+}
--- /dev/null
+++ b/internal/fleet/edge/listen.go
@@ -0,0 +1,256 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"sassafrastray"
+	"sassafrastray/internal/fleet/directory"
+	"sassafrastray/internal/fleet/mirror"
+	"sassafrastray/internal/fleet/neighbor"
+	"sassafrastray/internal/traffic/entry"
+)
+
+const (
+	// prefetch is how much of a body the HTTP servers read before they call
+	// a handler; the rest is streamed. In bytes.
+	prefetch = 16 << 10
+
+	// headerSize bounds a request's header in bytes. It lies above the limit
+	// that configurations set.
+	headerSize = 24 << 10
+
+	// headTimeout bounds the reading of a request's header, idleTimeout the
+	// time between two requests of a connection.
+	headTimeout = 4 * time.Second
+	idleTimeout = 20 * time.Second
+
+	// ttl is how long callers keep the answer to a look-up. A VM that died is
+	// named for that long.
+	ttl = 2 * time.Second
+
+	// stopAccepting is the part of the grace period after which a stopping VM
+	// closes its listeners, and spareTime what it leaves at its end.
+	stopAccepting = 0.45
+	spareTime     = 700 * time.Millisecond
+	drainPoll     = 50 * time.Millisecond
+	closeTimeout  = 300 * time.Millisecond
+)
+
+// listener is one of the VM's servers.
+type listener struct {
+	name   string
+	ln     net.Listener
+	server *fasthttp.Server
+}
+
+// Run serves until ctx ends, then drains and returns. It returns an error if
+// the VM can't start.
+func (v *VM) Run(ctx context.Context) error {
+	ls, err := v.listen()
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, len(ls))
+	for _, l := range ls {
+		go func() {
+			if err := l.server.Serve(l.ln); err != nil {
+				failed <- errors.Wrapf(err, "%s listener", l.name)
+			}
+		}()
+	}
+	stopHangups := make(chan struct{})
+	go v.hangups.Run(stopHangups)
+	v.loops.Add(2 + len(mirror.Followed))
+	go v.control()
+	go v.register()
+	for _, t := range mirror.Followed {
+		go v.follow(t)
+	}
+	v.log.Info("serving", "vm", v.opt.VM.Name, "domain", v.opt.VM.Domain, "callers", v.opt.VM.Callers, "inner", v.opt.VM.Inner)
+	select {
+	case <-ctx.Done():
+		v.drain(ls)
+	case err = <-failed:
+	}
+	v.stop()
+	v.loops.Wait()
+	close(stopHangups)
+	v.work.Release()
+	v.log.Info("stopped", "vm", v.opt.VM.Name)
+	return err
+}
+
+// listen opens all listeners before anything is served. The metrics may share
+// an address with nobody; a VM without them still serves.
+func (v *VM) listen() ([]listener, error) {
+	specs := []struct {
+		name    string
+		address netip.AddrPort
+		handler fasthttp.RequestHandler
+		needed  bool
+	}{
+		{"callers", v.opt.VM.Callers, v.handler.Handle, true},
+		{"inner", v.opt.VM.Inner, func(ctx *fasthttp.RequestCtx) { neighbor.Handle(ctx, v) }, true},
+		{"ready", v.opt.Ready, v.answerReady, true},
+		{"lookups", v.opt.Lookups, v.answerLookup, true},
+		{"metrics", v.opt.Metrics, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{})), false},
+	}
+	var ls []listener
+	for _, s := range specs {
+		if !s.address.IsValid() {
+			continue
+		}
+		ln, err := net.Listen("tcp", s.address.String())
+		if err != nil {
+			if !s.needed {
+				v.log.Warn("not listening", "listener", s.name, "error", err.Error())
+				continue
+			}
+			for _, l := range ls {
+				l.ln.Close()
+			}
+			return nil, errors.Wrapf(err, "%s listener", s.name)
+		}
+		ls = append(ls, listener{s.name, ln, v.server(s.handler)})
+	}
+	return ls, nil
+}
+
+func (v *VM) server(h fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: h, ErrorHandler: entry.Malformed, Name: "sassafrastray",
+		StreamRequestBody: true, MaxRequestBodySize: prefetch, DisablePreParseMultipartForm: true,
+		ReadBufferSize: headerSize, ReadTimeout: headTimeout, IdleTimeout: idleTimeout,
+		NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true,
+		CloseOnShutdown: true, TCPKeepalive: true, TCPKeepalivePeriod: idleTimeout / 4,
+		Logger: quiet{},
+	}
+}
+
+// quiet drops what the HTTP server has to say: callers cause all of it, and
+// each request has a line of its own.
+type quiet struct{}
+
+// Printf drops one message.
+func (quiet) Printf(string, ...any) {}
+
+func (v *VM) answerReady(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != v.opt.ReadyPath {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if !v.ready.Load() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// answerLookup tells a caller which VMs to use.
+func (v *VM) answerLookup(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != v.opt.LookupPath {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	n := v.named.Load()
+	if n == nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	host, region := v.opt.Question(ctx.QueryArgs())
+	if region == "" {
+		region = v.opt.Region
+	}
+	var homes []sassafrastray.RegionName
+	if n.hosts != nil {
+		for _, r := range n.hosts.Of(host) {
+			homes = append(homes, r.Regions...)
+		}
+	}
+	addresses := directory.Name(n.vms, region, homes)
+	if len(addresses) == 0 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	b, err := v.opt.Answer(addresses, min(ttl, v.opt.Bounds.TTL))
+	if err != nil {
+		v.log.Error("look-up not answered", "error", err.Error())
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// name gives look-ups a new view of the fleet, and says whether the VM is
+// ready.
+func (v *VM) name(now time.Time) {
+	ready := v.self.State == sassafrastray.Live && v.mirror.Complete()
+	if v.ready.Swap(ready) != ready {
+		v.log.Info("readiness", "ready", ready)
+	}
+	n := &naming{hosts: v.handler.Hosts()}
+	if v.self.State == sassafrastray.Live {
+		n.vms = append(n.vms, directory.VM{
+			Address: v.self.Callers, Domain: v.self.Domain, Region: v.opt.Region, Ready: ready,
+		})
+	}
+	for _, m := range v.members.View(now) {
+		b := v.beats[m.VM.Name]
+		if m.VM.State != sassafrastray.Live || b == nil {
+			continue
+		}
+		n.vms = append(n.vms, directory.VM{
+			Address: m.VM.Callers, Domain: m.VM.Domain, Region: v.opt.Regions[m.VM.Domain], Ready: b.Ready, Suspect: m.Suspect,
+		})
+	}
+	slices.SortFunc(n.vms, func(a, b directory.VM) int { return a.Address.Compare(b.Address) })
+	v.named.Store(n)
+}
+
+// drain takes the VM out of the look-ups at once, serves those who still come,
+// and lets what is under way end.
+func (v *VM) drain(ls []listener) {
+	began := v.clock.Now()
+	end := began.Add(v.opt.Bounds.Grace - spareTime)
+	v.log.Info("draining", "until", end)
+	v.ready.Store(false)
+	v.handler.Leave()
+	v.post(func(now time.Time) {
+		v.self.State = sassafrastray.Leaving
+		v.name(now)
+		v.beatAll(now)
+	})
+	time.Sleep(time.Duration(stopAccepting * float64(v.opt.Bounds.Grace)))
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		for _, l := range ls {
+			ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(end.Sub(v.clock.Now())))
+			if err := l.server.ShutdownWithContext(ctx); err != nil {
+				v.log.Warn("listener not shut down in time", "listener", l.name, "error", err.Error())
+			}
+			cancel()
+		}
+	}()
+	for v.clock.Now().Before(end) {
+		select {
+		case <-closed:
+			if v.handler.Active() == 0 {
+				return
+			}
+		default:
+		}
+		time.Sleep(drainPoll)
+	}
+	if n := v.handler.Active(); n > 0 {
+		v.log.Error("drain time over with requests under way", "requests", n)
+	}
+}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -241,6 +241,14 @@
 	return e.now().VM, true
 }
 
+// Incarnation returns the latest incarnation that was heard of, or 0.
+func (t *Table) Incarnation(name sassafrastray.VMName) sassafrastray.Incarnation {
+	if e := t.entries[name]; e != nil {
+		return e.beat.Incarnation
+	}
+	return 0
+}
+
 // Known returns all candidates, heard of or not, by name.
 func (t *Table) Known() []sassafrastray.VM { return vms(t.sorted()) }
 
--- /dev/null
+++ b/internal/fleet/neighbor/neighbor.go
@@ -0,0 +1,153 @@
+// Package neighbor is the protocol among the VMs of a fleet that share a
+// platform's store: heartbeats and copies of what the store said, as JSON over
+// HTTP on the inner listener.
+package neighbor
+
+import (
+	"encoding/json"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+	"sassafrastray/internal/fleet/member"
+	"sassafrastray/internal/limit/allotment"
+	"sassafrastray/internal/rollout/canary"
+	"sassafrastray/internal/traffic/upstream"
+)
+
+// Paths of the protocol.
+const (
+	BeatPath = "/beat"
+	CopyPath = "/copy"
+)
+
+const (
+	// maxMessage is the size of the largest message in bytes.
+	maxMessage = 8 << 20
+
+	// progress bounds each wait for a part of a message.
+	progress = time.Second
+)
+
+type (
+	// Beat is what a VM tells about itself.
+	Beat struct {
+		VM       sassafrastray.VM          `json:"vm"`
+		Inc      sassafrastray.Incarnation `json:"inc"`
+		Sequence uint64                    `json:"seq"`
+		// Ready tells that callers may be sent to the VM.
+		Ready bool `json:"ready,omitempty"`
+		// Config is the number of its configuration, Revisions what its copy
+		// of the store reflects, and Store whether it reaches the store.
+		Config    int64                         `json:"config,omitempty"`
+		Revisions map[sassafrastray.Topic]int64 `json:"revisions,omitempty"`
+		Store     bool                          `json:"store,omitempty"`
+		Demands   allotment.Demands             `json:"demands,omitempty"`
+		Evidence  canary.Evidence               `json:"evidence,omitempty"`
+		// Seen is the incarnation that the sender knows of the receiver.
+		Seen sassafrastray.Incarnation `json:"seen,omitempty"`
+		// Digest stands for the VMs that the sender knows; Fleet has them,
+		// if the receiver's digest differed.
+		Digest uint64             `json:"digest,omitempty"`
+		Fleet  []sassafrastray.VM `json:"fleet,omitempty"`
+	}
+
+	// Service is what a VM does with messages.
+	Service interface {
+		// Beat takes in a heartbeat and returns the VM's own.
+		Beat(b *Beat) *Beat
+		// Copy returns the VM's copy of the store.
+		Copy() []sassafrastray.Batch
+	}
+
+	// Client calls other VMs.
+	Client struct {
+		pool  *upstream.Pool
+		clock sassafrastray.Clock
+	}
+)
+
+// Member returns the part of the heartbeat that membership reads.
+func (b *Beat) Member() member.Beat {
+	return member.Beat{VM: b.VM, Incarnation: b.Inc, Sequence: b.Sequence, Config: b.Config}
+}
+
+// New returns a client that uses the pool's connections.
+func New(pool *upstream.Pool, clock sassafrastray.Clock) *Client {
+	return &Client{pool: pool, clock: clock}
+}
+
+// Beat sends a heartbeat and returns the other VM's own.
+func (c *Client) Beat(to netip.AddrPort, b *Beat, timeout time.Duration) (*Beat, error) {
+	body, err := json.Marshal(b)
+	if err != nil {
+		return nil, errors.Wrap(err, "heartbeat")
+	}
+	var answer Beat
+	if err := c.call(to, BeatPath, body, &answer, timeout); err != nil {
+		return nil, errors.Wrap(err, "heartbeat")
+	}
+	return &answer, nil
+}
+
+// Copy returns the other VM's copy of the store.
+func (c *Client) Copy(to netip.AddrPort, timeout time.Duration) ([]sassafrastray.Batch, error) {
+	var batches []sassafrastray.Batch
+	err := c.call(to, CopyPath, nil, &batches, timeout)
+	return batches, errors.Wrap(err, "copy")
+}
+
+func (c *Client) call(to netip.AddrPort, path string, body []byte, v any, timeout time.Duration) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(path)
+	req.Header.SetHost(to.String())
+	if body != nil {
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetBodyRaw(body)
+	}
+	x := c.pool.Start(upstream.Call{Address: to, Deadline: c.clock.Now().Add(timeout), Progress: progress})
+	if out := x.Do(req, resp); out.Failure != upstream.None {
+		return errors.Newf("%s: %v", out.Failure, out.Err)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxMessage))
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return errors.Newf("status %d: %.100s", resp.StatusCode(), b)
+	}
+	return errors.Wrap(json.Unmarshal(b, v), "decode")
+}
+
+// Handle answers one message of another VM.
+func Handle(ctx *fasthttp.RequestCtx, s Service) {
+	switch string(ctx.Path()) {
+	case BeatPath:
+		var b Beat
+		if err := json.Unmarshal(ctx.PostBody(), &b); err != nil {
+			ctx.Error("heartbeat: "+err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		reply(ctx, s.Beat(&b))
+	case CopyPath:
+		reply(ctx, s.Copy())
+	default:
+		ctx.Error("unknown path", fasthttp.StatusNotFound)
+	}
+}
+
+func reply(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error("encode: "+err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -28,6 +28,7 @@
 	"sassafrastray/internal/rollout/move"
 	"sassafrastray/internal/traffic/choice"
 	"sassafrastray/internal/traffic/entry"
+	"sassafrastray/internal/traffic/hangup"
 	"sassafrastray/internal/traffic/keeper"
 	"sassafrastray/internal/traffic/lookup"
 	"sassafrastray/internal/traffic/retry"
@@ -101,7 +102,7 @@
 		faults  *peer.Faults
 		handler *entry.Handler
 		gate    *entry.Gate
-		hangups *entry.Hangups
+		hangups *hangup.Watch
 		picks   atomic.Pointer[choice.Snapshot]
 		pacer   *pace.Pacer
 		quotas  *book
@@ -182,7 +183,7 @@
 	if v.set.Faults.Allowed {
 		v.faults = peer.NewFaults()
 	}
-	v.hangups = entry.NewHangups()
+	v.hangups = hangup.New()
 	v.pacer = pace.New(v.quotas, v.clock, pause)
 	v.client = peer.New(v.self, peer.NewToken([]byte(v.set.Secret)), v.pool, v.clock, v.faults)
 	v.handler = entry.New(entry.Deps{
--- a/internal/object/store/pool.go
+++ b/internal/object/lane/lane.go
@@ -1,4 +1,8 @@
-package store
+// Package lane carries calls to one address over connections of its own, one
+// call at a time each. It never repeats a call, tells whether a byte of a
+// failed one may have left, and gives up the connections that may have gone
+// silent together with one that did.
+package lane
 
 import (
 	"context"
@@ -15,14 +19,28 @@
 	"golang.org/x/sys/unix"
 )
 
-// maxIdle bounds the idle connections that a pool keeps.
-const maxIdle = 8
+const (
+	// maxIdle bounds the idle connections that a pool keeps.
+	maxIdle = 8
+
+	// maxAnswer is the size of the largest answer in bytes.
+	maxAnswer = 256 << 20
+
+	// Probes of the kernel find a connection that went silent while a watch
+	// waits on it, within the seconds that a configuration may take.
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+
+	// userTimeout is how long sent bytes may stay unacknowledged.
+	userTimeout = 3 * time.Second
+)
 
 var errCut = errors.New("the call's context ended")
 
 type (
-	// pool hands out connections to one address, each to one call at a time.
-	pool struct {
+	// Pool hands out connections to one address, each to one call at a time.
+	Pool struct {
 		addr  netip.AddrPort
 		mu    sync.Mutex
 		idle  []*lane
@@ -51,10 +69,13 @@
 	}
 )
 
-// do sends the request on a connection of its own and reads the whole answer
+// New returns a pool without connections to the address.
+func New(addr netip.AddrPort) *Pool { return &Pool{addr: addr} }
+
+// Do sends the request on a connection of its own and reads the whole answer
 // before the context's deadline and limit. It reports whether a byte of the
 // request may have left. A connection whose call failed is closed.
-func (p *pool) do(
+func (p *Pool) Do(
 	ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, limit time.Duration,
 ) (sent bool, err error) {
 	if d, ok := ctx.Deadline(); ok {
@@ -101,7 +122,7 @@
 
 // take returns an idle lane or a new one, and the number of the call. It closes
 // the idle lanes that the store has closed in the meantime.
-func (p *pool) take() (*lane, uint64) {
+func (p *Pool) take() (*lane, uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
@@ -118,7 +139,7 @@
 }
 
 // give makes a lane idle after call was answered on it.
-func (p *pool) give(l *lane, call uint64) {
+func (p *Pool) give(l *lane, call uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle) >= maxIdle {
@@ -131,7 +152,7 @@
 
 // suspect closes the idle lanes that were last answered before call, which
 // failed: what broke its connection may have broken them too.
-func (p *pool) suspect(call uint64) {
+func (p *Pool) suspect(call uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
@@ -146,7 +167,8 @@
 	p.idle = kept
 }
 
-func (p *pool) close() {
+// Close closes the idle connections. Calls that are under way end by themselves.
+func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, l := range p.idle {
@@ -173,7 +195,11 @@
 }
 
 func (l *lane) dial(addr string, limit time.Duration) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: limit}).DialContext(l.open, "tcp", addr)
+	d := net.Dialer{
+		Timeout: limit, Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+	}
+	conn, err := d.DialContext(l.open, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
@@ -228,3 +254,12 @@
 	}
 	return n, err
 }
+
+// setUserTimeout bounds how long the kernel repeats unacknowledged bytes.
+func setUserTimeout(_, _ string, rc syscall.RawConn) error {
+	var set error
+	err := rc.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(err, set)
+}
--- a/internal/object/store/store.go
+++ b/internal/object/store/store.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/object/lane"
 )
 
 const (
@@ -29,7 +30,6 @@
 	headerIfVersion = "If-Version"
 	headerDomain    = "Domain"
 	headerClient    = "Client"
-	maxAnswer       = 256 << 20
 )
 
 type (
@@ -39,7 +39,7 @@
 		base   string
 		domain sassafrastray.DomainName
 		client string
-		pool   pool
+		pool   *lane.Pool
 	}
 
 	// change is the answer to a watch.
@@ -57,12 +57,12 @@
 // New returns a client of the platform at addr. The failure domain and the
 // client's name go with each call.
 func New(addr netip.AddrPort, domain sassafrastray.DomainName, client string) *Client {
-	return &Client{base: "http://" + addr.String(), domain: domain, client: client, pool: pool{addr: addr}}
+	return &Client{base: "http://" + addr.String(), domain: domain, client: client, pool: lane.New(addr)}
 }
 
 // Close closes the idle connections. Calls that are under way end by
 // themselves.
-func (c *Client) Close() { c.pool.close() }
+func (c *Client) Close() { c.pool.Close() }
 
 // Get returns the object, or ErrNotFound or ErrUnavailable.
 func (c *Client) Get(ctx context.Context, key string) (sassafrastray.Object, error) {
@@ -160,7 +160,7 @@
 // read does a call that changes nothing: whatever goes wrong on the way, the
 // store may be asked again.
 func (c *Client) read(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, limit time.Duration) error {
-	if _, err := c.pool.do(ctx, req, resp, limit); err != nil {
+	if _, err := c.pool.Do(ctx, req, resp, limit); err != nil {
 		return errors.Mark(err, sassafrastray.ErrUnavailable)
 	}
 	switch code := resp.StatusCode(); code {
@@ -175,7 +175,7 @@
 
 // write does a conditional write and returns the new version.
 func (c *Client) write(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (int64, error) {
-	if sent, err := c.pool.do(ctx, req, resp, Timeout); err != nil {
+	if sent, err := c.pool.Do(ctx, req, resp, Timeout); err != nil {
 		if sent {
 			return 0, errors.Mark(err, sassafrastray.ErrUnknown)
 		}
--- a/internal/operator/document/node.go
+++ b/internal/operator/document/node.go
@@ -221,6 +221,15 @@
 	return out
 }
 
+// Names returns the names of a mapping's fields, in their order.
+func (n Node) Names() []string {
+	var out []string
+	for _, v := range entries(n.value) {
+		out = append(out, keyOf(v))
+	}
+	return out
+}
+
 // IsMapping tells whether the node holds fields.
 func (n Node) IsMapping() bool { return isMapping(n.value) }
 
--- a/internal/traffic/entry/forward.go
+++ b/internal/traffic/entry/forward.go
@@ -11,6 +11,7 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/fleet/peer"
+	"sassafrastray/internal/traffic/problem"
 	"sassafrastray/internal/traffic/upstream"
 )
 
@@ -106,13 +107,13 @@
 	if us, err := strconv.ParseInt(string(resp.Header.Peek(peer.WaitHeader)), 10, 64); err == nil {
 		r.wait = time.Duration(us) * time.Microsecond
 	}
-	if statuses[r.reason] == 0 || r.result != sassafrastray.NotRun {
+	if problem.Status(r.reason) == 0 || r.result != sassafrastray.NotRun {
 		r.result = sassafrastray.Unknown
 	}
-	if statuses[r.reason] == 0 {
+	if problem.Status(r.reason) == 0 {
 		r.reason = sassafrastray.ReasonBroken
 	}
-	var p problem
+	var p problem.Problem
 	if s := resp.BodyStream(); s != nil {
 		if b, err := io.ReadAll(io.LimitReader(s, replayable)); err == nil && json.Unmarshal(b, &p) == nil {
 			r.detail = p.Detail
@@ -130,7 +131,7 @@
 	r := h.accept(in, s)
 	if r == nil {
 		if in.watchable() {
-			h.Hangups.add(in, in.conn)
+			h.Hangups.Add(in, in.conn)
 		}
 		r = h.kept(in)
 	}
--- a/internal/traffic/entry/handler.go
+++ b/internal/traffic/entry/handler.go
@@ -20,6 +20,7 @@
 	"sassafrastray/internal/rollout/evidence"
 	"sassafrastray/internal/rollout/move"
 	"sassafrastray/internal/traffic/choice"
+	"sassafrastray/internal/traffic/hangup"
 	"sassafrastray/internal/traffic/lookup"
 	"sassafrastray/internal/traffic/route"
 	"sassafrastray/internal/traffic/upstream"
@@ -73,7 +74,7 @@
 		Gate     *Gate
 		Quotas   Quotas
 		Samples  Samples
-		Hangups  *Hangups
+		Hangups  *hangup.Watch
 		Metrics  *Metrics
 		Retry    *Retries
 		Pacer    *pace.Pacer
@@ -183,7 +184,7 @@
 		return r
 	}
 	if in.watchable() {
-		h.Hangups.add(in, in.conn)
+		h.Hangups.Add(in, in.conn)
 	}
 	return nil
 }
@@ -266,7 +267,7 @@
 
 // finish ends a request that has its answer.
 func (h *Handler) finish(in *inbound) {
-	h.Hangups.remove(in)
+	h.Hangups.Remove(in)
 	h.active.Add(-1)
 }
 
--- a/internal/traffic/entry/inbound.go
+++ b/internal/traffic/entry/inbound.go
@@ -65,9 +65,9 @@
 	}
 )
 
-// hangup notes that nobody waits for the answer any more and breaks off the
+// Hangup notes that nobody waits for the answer any more and breaks off the
 // exchange under way.
-func (in *inbound) hangup() {
+func (in *inbound) Hangup() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.gone {
--- /dev/null
+++ b/internal/traffic/ingress/ingress.go
@@ -0,0 +1,166 @@
+// Package ingress answers callers whose routes choose among services by host
+// and path. It turns a request into a team and a route, admits it, sends it
+// straight to a backend server that placement chooses, tries again where that
+// is allowed, and passes the answer on.
+package ingress
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+	"sassafrastray/internal/limit/allotment"
+	"sassafrastray/internal/operator/key"
+	"sassafrastray/internal/traffic/entry"
+	"sassafrastray/internal/traffic/hangup"
+	"sassafrastray/internal/traffic/placement"
+	"sassafrastray/internal/traffic/retry"
+	"sassafrastray/internal/traffic/route"
+	"sassafrastray/internal/traffic/upstream"
+)
+
+type (
+	// Snapshot is what traffic reads of the VM's state. It is immutable.
+	Snapshot struct {
+		Config *sassafrastray.Config
+		Hosts  *route.Hosts
+		Keys   *key.Table
+		Teams  map[sassafrastray.TeamName]*sassafrastray.Team
+	}
+
+	// Placement chooses backend servers. It is safe for concurrent use.
+	Placement interface {
+		Pick(r placement.Request) (placement.Choice, bool)
+		Done(c placement.Choice, e placement.End, took time.Duration, load *sassafrastray.BackendLoad)
+	}
+
+	// Quotas admits requests under the rates of teams. It is safe for
+	// concurrent use.
+	Quotas interface {
+		Take(team sassafrastray.TeamName) allotment.Verdict
+		Refund(team sassafrastray.TeamName)
+	}
+
+	// Retries decides on further tries. It is safe for concurrent use.
+	Retries interface {
+		Request(s sassafrastray.ServiceName)
+		Next(a retry.Attempt) retry.Decision
+	}
+
+	// Rollouts chooses versions and takes evidence on them. It is safe for
+	// concurrent use.
+	Rollouts interface {
+		// Draw returns the version that a request of the service must go to,
+		// and one that it must not go to; empty means any. Narrow tells to
+		// use few backend servers.
+		Draw(s sassafrastray.ServiceName) (only, except sassafrastray.VersionName, narrow bool)
+		// Saw counts how a request ended on a version.
+		Saw(s sassafrastray.ServiceName, r sassafrastray.RouteName, v sassafrastray.VersionName, ok bool)
+	}
+
+	// Splitter divides a route's requests among its services. It is safe for
+	// concurrent use.
+	Splitter interface {
+		Next(r *sassafrastray.Route) sassafrastray.ServiceName
+	}
+
+	// Deps are what a Handler works with.
+	Deps struct {
+		Clock     sassafrastray.Clock
+		Log       *slog.Logger
+		Dialect   sassafrastray.Dialect
+		Region    sassafrastray.RegionName
+		Pool      *upstream.Pool
+		Placement Placement
+		Quotas    Quotas
+		Retries   Retries
+		Rollouts  Rollouts
+		Splits    Splitter
+		Hangups   *hangup.Watch
+		Metrics   *entry.Metrics
+	}
+
+	// Handler answers callers.
+	Handler struct {
+		Deps
+		snap    atomic.Pointer[Snapshot]
+		active  atomic.Int64
+		leaving atomic.Bool
+	}
+)
+
+// New returns a Handler that refuses everything until it has a Snapshot.
+func New(d Deps) *Handler { return &Handler{Deps: d} }
+
+// Update replaces what traffic reads.
+func (h *Handler) Update(s *Snapshot) { h.snap.Store(s) }
+
+// Leave makes all further answers close their connection.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
+// Active returns the number of requests under way.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// Handle answers one request of a caller.
+func (h *Handler) Handle(ctx *fasthttp.RequestCtx) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	if h.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+	q := h.receive(ctx)
+	defer h.Hangups.Remove(q)
+	r := h.admit(q)
+	if r == nil {
+		r = h.serve(q)
+	}
+	if r != nil {
+		h.refuse(q, r)
+	}
+	h.ended(q, r)
+}
+
+// ended counts the request and writes the line about it.
+func (h *Handler) ended(q *request, r *refusal) {
+	now := h.Clock.Now()
+	reason := sassafrastray.ReasonOK
+	if r != nil {
+		reason = r.reason
+	}
+	h.Metrics.Requests.WithLabelValues("callers", string(q.service), string(q.team), string(reason)).Inc()
+	h.Metrics.Latency.WithLabelValues("callers", string(q.service)).Observe(now.Sub(q.arrived).Seconds())
+	level := slog.LevelInfo
+	if r != nil {
+		level = slog.LevelWarn
+	}
+	if !h.Log.Enabled(context.Background(), level) {
+		return
+	}
+	args := []any{
+		"request", q.id, "route", q.routeName(), "team", q.team, "service", q.service, "config", q.config,
+		"reason", reason, "status", q.ctx.Response.StatusCode(), "tries", q.tries, "took", now.Sub(q.arrived),
+		"left", q.deadline.Sub(now), "share", q.verdict.Share, "demands", q.verdict.Age,
+	}
+	if c := &q.choice; c.Server.Name != "" {
+		args = append(args, "backend", c.Server.Name, "version", c.Server.Version, "domain", c.Server.Domain,
+			"choice", c.Reason, "load", c.Load, "report", c.Age, "warm", c.Warm, "expected", c.Expected)
+	}
+	if r != nil {
+		args = append(args, "result", r.result, "detail", r.detail, "wait", r.wait)
+		h.Log.Warn("refused", args...)
+		return
+	}
+	h.Log.Info("answered", args...)
+}
+
+// Hosts returns the routes in force, or nil before the first configuration.
+func (h *Handler) Hosts() *route.Hosts {
+	if s := h.snap.Load(); s != nil {
+		return s.Hosts
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/ingress/serve.go
@@ -0,0 +1,373 @@
+package ingress
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+	"sassafrastray/internal/traffic/placement"
+	"sassafrastray/internal/traffic/retry"
+	"sassafrastray/internal/traffic/upstream"
+)
+
+const (
+	// firstPart is the part of the time that is left which the first try of
+	// an idempotent request may take before another server is tried.
+	firstPart = 0.55
+
+	// tooSlow is the multiple of the expected time up to which a try is never
+	// given up for another.
+	tooSlow = 4
+
+	// slowFactor is the multiple of the usual time from which an answer
+	// counts against its version. Work on an object that a server does not
+	// know takes about three times as long.
+	slowFactor = 5
+
+	// largeAnswer is the size of the largest answer that is held whole, so
+	// that a broken one can be asked for again, in bytes.
+	largeAnswer = 256 << 10
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	fasthttp.HeaderConnection, "Keep-Alive", "Proxy-Connection", fasthttp.HeaderTE,
+	fasthttp.HeaderTrailer, fasthttp.HeaderUpgrade, fasthttp.HeaderExpect,
+	fasthttp.HeaderProxyAuthenticate, fasthttp.HeaderProxyAuthorization,
+}
+
+// attempt is one try at a backend server.
+type attempt struct {
+	choice placement.Choice
+	start  time.Time
+	// final is set for the last try that time allows.
+	final bool
+	resp  *fasthttp.Response
+	out   upstream.Outcome
+	body  []byte
+	// stream is set for an answer that is too large to be held.
+	stream io.ReadCloser
+}
+
+// serve sends the request to a backend server, and to another if that is
+// allowed. It returns nil if the response holds the answer.
+func (h *Handler) serve(q *request) *refusal {
+	q.service = h.Splits.Next(q.route)
+	h.Retries.Request(q.service)
+	var exclude []sassafrastray.BackendName
+	var maybe bool
+	var failure *attempt
+	for q.tries = 1; ; q.tries++ {
+		a, r := h.try(q, exclude)
+		if r == nil && !h.worthAnother(q, a) {
+			h.deliver(q, a)
+			return nil
+		}
+		next := retry.Attempt{
+			Service: q.service, Number: q.tries, Idempotent: q.route.Idempotent, Deadline: q.deadline,
+			Most: q.route.Attempts, Exclude: exclude, Result: sassafrastray.Unknown, Reason: sassafrastray.ReasonBroken,
+		}
+		if r != nil {
+			next.Result, next.Reason = r.result, r.reason
+			next.Unsent = a != nil && !a.out.Sent
+			maybe = maybe || r.result != sassafrastray.NotRun
+			if maybe {
+				// An earlier try may have run, whatever became of the last.
+				r.result = sassafrastray.Unknown
+				next.Result = sassafrastray.Unknown
+			}
+		} else {
+			maybe = true
+			failure = a
+		}
+		if a != nil {
+			next.Backend = a.choice.Server.Name
+		}
+		if next.Unsent {
+			// Nobody got the request, so it is no try of a backend server.
+			next.Most = 0
+		}
+		d := h.Retries.Next(next)
+		if !d.Retry || !q.repeatable() || q.isGone() {
+			return h.giveUp(q, failure, r)
+		}
+		if failure != nil && failure != a {
+			failure = nil
+		}
+		exclude = d.Exclude
+		h.Metrics.Retries.WithLabelValues(string(q.service)).Inc()
+		if q.tries == 1 {
+			h.Log.Debug("retry", "request", q.id, "service", q.service, "after", next.Reason, "result", next.Result)
+		}
+		time.Sleep(d.Pause)
+	}
+}
+
+// giveUp answers with a failure of a backend server, if there is one, or with
+// the refusal.
+func (h *Handler) giveUp(q *request, failure *attempt, r *refusal) *refusal {
+	if failure != nil {
+		h.deliver(q, failure)
+		return nil
+	}
+	return r
+}
+
+// worthAnother tells whether an answer is a failure that another server may not
+// give.
+func (h *Handler) worthAnother(q *request, a *attempt) bool {
+	return q.route.Idempotent && a.stream == nil && a.resp.StatusCode() >= fasthttp.StatusInternalServerError &&
+		a.resp.StatusCode() != fasthttp.StatusGatewayTimeout
+}
+
+// try sends the request once. It returns a refusal if there is no answer, with
+// the attempt if a server was chosen.
+func (h *Handler) try(q *request, exclude []sassafrastray.BackendName) (*attempt, *refusal) {
+	now := h.Clock.Now()
+	if !now.Before(q.deadline) {
+		return nil, notRun(sassafrastray.ReasonDeadline, "")
+	}
+	only, except, narrow := h.Rollouts.Draw(q.service)
+	c, ok := h.Placement.Pick(placement.Request{
+		Service: q.service, Object: q.object, Sticky: q.route.Sticky, Regions: q.homes, Only: only, Except: except,
+		Narrow: narrow, Rank: q.rank, Objective: q.route.Objective, Left: q.deadline.Sub(now), Exclude: exclude,
+	})
+	q.choice = c
+	h.Metrics.Choices.WithLabelValues(string(c.Reason)).Inc()
+	if !ok {
+		reason := sassafrastray.ReasonBusy
+		if c.Reason == placement.None {
+			reason = sassafrastray.ReasonBackend
+		}
+		h.refund(q)
+		r := notRun(reason, string(c.Reason))
+		r.wait = c.Wait
+		return nil, r
+	}
+	a := &attempt{choice: c, start: now, resp: fasthttp.AcquireResponse()}
+	r := h.exchange(q, a)
+	h.judge(q, a, r)
+	return a, r
+}
+
+// refund gives the token of a request that reached no server back.
+func (h *Handler) refund(q *request) {
+	if !q.route.Open && q.tries == 1 {
+		h.Quotas.Refund(q.team)
+	}
+}
+
+// exchange sends the request and reads the answer.
+func (h *Handler) exchange(q *request, a *attempt) *refusal {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	end := h.tryUntil(q, a)
+	h.outbound(q, req, a)
+	call := upstream.Call{Address: a.choice.Server.Address, Proved: !q.route.Idempotent, Deadline: end, Progress: progress}
+	switch {
+	case q.rest != nil:
+		call.Body, call.Size = io.MultiReader(bytes.NewReader(q.body), q.rest), q.ctx.Request.Header.ContentLength()
+	case len(q.body) > 0:
+		req.SetBodyRaw(q.body)
+	}
+	x := h.Pool.Start(call)
+	q.attach(x)
+	a.out = x.Do(req, a.resp)
+	if a.out.Failure != upstream.None {
+		return h.failed(q, a)
+	}
+	if len(a.resp.Header.Peek(h.Dialect.NotRun)) > 0 || a.resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		// The backend server says itself that it did not run the request.
+		h.discard(a)
+		return notRun(sassafrastray.ReasonShed, string(a.choice.Server.Name))
+	}
+	return h.readAnswer(q, a)
+}
+
+// tryUntil returns when the try is given up. The first try of an idempotent
+// request leaves time for another.
+func (h *Handler) tryUntil(q *request, a *attempt) time.Time {
+	a.final = true
+	if !q.route.Idempotent || q.tries >= q.route.Attempts || !q.repeatable() {
+		return q.deadline
+	}
+	left := q.deadline.Sub(a.start)
+	d := max(time.Duration(firstPart*float64(left)), tooSlow*a.choice.Expected)
+	if d >= left {
+		return q.deadline
+	}
+	a.final = false
+	return a.start.Add(d)
+}
+
+// outbound makes the request that a backend server sees.
+func (h *Handler) outbound(q *request, req *fasthttp.Request, a *attempt) {
+	q.ctx.Request.Header.CopyTo(&req.Header)
+	d := &req.Header
+	cleanRequest(d)
+	d.SetRequestURIBytes(q.ctx.Request.Header.RequestURI())
+	if q.team != "" {
+		d.Set(h.Dialect.Team, string(q.team))
+	}
+	d.Set(h.Dialect.Expect, string(a.choice.Server.Name))
+	d.Set(h.Dialect.Deadline, h.Dialect.FormatDeadline(q.deadline.Sub(h.Clock.Now())))
+}
+
+// cleanRequest removes the headers that concern the caller's connection only.
+func cleanRequest(d *fasthttp.RequestHeader) {
+	for name := range strings.SplitSeq(string(d.Peek(fasthttp.HeaderConnection)), ",") {
+		if name = strings.TrimSpace(name); name != "" && !strings.EqualFold(name, fasthttp.HeaderHost) {
+			d.Del(name)
+		}
+	}
+	for _, n := range hopHeaders {
+		d.Del(n)
+	}
+}
+
+// failed tells what an exchange without an answer means for its request.
+func (h *Handler) failed(q *request, a *attempt) *refusal {
+	fasthttp.ReleaseResponse(a.resp)
+	a.resp = nil
+	r := notRun(sassafrastray.ReasonBroken, string(a.out.Failure))
+	if a.out.Sent {
+		r.result = sassafrastray.Unknown
+	}
+	switch a.out.Failure {
+	case upstream.Dial:
+		r.reason = sassafrastray.ReasonBackend
+	case upstream.Silent:
+		if a.final {
+			r.reason = sassafrastray.ReasonDeadline
+		}
+	case upstream.Aborted, upstream.Body:
+		r.reason = sassafrastray.ReasonGone
+	}
+	if r.result == sassafrastray.NotRun {
+		h.refund(q)
+	}
+	return r
+}
+
+// readAnswer holds the answer's body, or its beginning if it is large.
+func (h *Handler) readAnswer(q *request, a *attempt) *refusal {
+	stream, ok := a.resp.BodyStream().(io.ReadCloser)
+	if !ok {
+		return nil
+	}
+	size := a.resp.Header.ContentLength()
+	if size > largeAnswer {
+		a.stream = stream
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, largeAnswer))
+	if err == nil && len(body) == largeAnswer {
+		a.body, a.stream = body, stream
+		return nil
+	}
+	if cerr := stream.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		h.discard(a)
+		a.out.Failure = upstream.Cut
+		reason := sassafrastray.ReasonBroken
+		if q.isGone() {
+			reason, a.out.Failure = sassafrastray.ReasonGone, upstream.Aborted
+		} else if !h.Clock.Now().Before(q.deadline) {
+			reason, a.out.Failure = sassafrastray.ReasonDeadline, upstream.Silent
+		}
+		return &refusal{reason: reason, result: sassafrastray.Unknown, detail: "the answer was not whole"}
+	}
+	a.body = body
+	return nil
+}
+
+// discard gives up an answer.
+func (h *Handler) discard(a *attempt) {
+	if s, ok := a.resp.BodyStream().(io.ReadCloser); ok {
+		// A short rest is read so that the connection can be used again; one
+		// that can't be read closes it.
+		_, _ = io.CopyN(io.Discard, s, held)
+		_ = s.Close()
+	}
+}
+
+// judge tells placement and the rollouts how the try ended.
+func (h *Handler) judge(q *request, a *attempt, r *refusal) {
+	took := h.Clock.Now().Sub(a.start)
+	end, counts, good := placement.OK, true, true
+	var load *sassafrastray.BackendLoad
+	if a.resp != nil {
+		if l, ok := h.Dialect.ParseLoad(a.resp.Header.Peek(h.Dialect.Load)); ok {
+			load = &l
+		}
+		if r == nil && a.resp.StatusCode() >= fasthttp.StatusInternalServerError {
+			end, good = placement.Failed, false
+		}
+	}
+	switch {
+	case r == nil:
+	case r.reason == sassafrastray.ReasonShed:
+		end, counts = placement.Shed, false
+		if a.resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
+			end = placement.Wrong
+		}
+		h.Metrics.Sheds.WithLabelValues(string(q.service)).Inc()
+	case r.reason == sassafrastray.ReasonGone:
+		end, counts = placement.Cancelled, false
+	case a.out.Failure == upstream.Dial:
+		end, counts = placement.Refused, false
+	case a.out.Failure == upstream.Silent:
+		end, good = placement.Timeout, false
+	default:
+		end, good = placement.Failed, false
+	}
+	h.Placement.Done(a.choice, end, took, load)
+	if counts {
+		good = good && (a.choice.Usual == 0 || took <= slowFactor*a.choice.Usual)
+		h.Rollouts.Saw(q.service, q.route.Name, a.choice.Server.Version, good)
+	}
+}
+
+// deliver passes an answer on.
+func (h *Handler) deliver(q *request, a *attempt) {
+	out := &q.ctx.Response
+	closing := out.ConnectionClose()
+	a.resp.Header.CopyTo(&out.Header)
+	for _, n := range hopHeaders {
+		out.Header.Del(n)
+	}
+	out.Header.Del(h.Dialect.Load)
+	h.Metrics.Bytes.WithLabelValues(string(q.service)).Add(float64(len(a.body)))
+	skip := a.resp.SkipBody
+	size := a.resp.Header.ContentLength()
+	switch {
+	case a.stream != nil:
+		if len(a.body) > 0 {
+			out.SetBodyStream(&joined{io.MultiReader(bytes.NewReader(a.body), a.stream), a.stream}, size)
+		} else {
+			out.SetBodyStream(a.stream, size)
+		}
+	case skip:
+		out.SkipBody = true
+	default:
+		out.SetBodyRaw(a.body)
+	}
+	if a.stream == nil {
+		fasthttp.ReleaseResponse(a.resp)
+	}
+	if closing || q.rest != nil {
+		q.ctx.SetConnectionClose()
+	}
+}
+
+// joined is a stream whose beginning was read already.
+type joined struct {
+	io.Reader
+	io.Closer
+}
--- /dev/null
+++ b/internal/traffic/placement/pick.go
@@ -0,0 +1,374 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sassafrastray"
+)
+
+// Reasons for a choice, or for none.
+const (
+	Preferred Reason = "preferred" // the object's first server of the region
+	Spread    Reason = "spread"    // another server of the region is sooner
+	Away      Reason = "away"      // the object belongs to another region's share
+	Detour    Reason = "detour"    // its share's servers would be too late
+	Busy      Reason = "busy"      // all servers would be too late
+	None      Reason = "none"      // no server may take it
+)
+
+const (
+	// patience is the part of a request's objective that it may wait behind
+	// others before it is refused, by rank of urgency: the most urgent, the
+	// usual, and all others.
+	patienceFirst = 1.5
+	patienceUsual = 1.0
+	patienceRest  = 0.6
+
+	// usualObjective stands for the objective of a route that has none.
+	usualObjective = 500 * time.Millisecond
+
+	// balance is the part of the work by which a server with all slots but
+	// one in use appears later than an idle one.
+	balance = 0.3
+
+	// detourPart is the part of the requests that may leave the region that
+	// their object belongs to, when it would be too late there.
+	detourPart = 0.05
+	mostDetour = 6
+
+	// leastWait and mostWait bound the time after which a refused request is
+	// asked to come back.
+	leastWait = 200 * time.Millisecond
+	mostWait  = 2 * time.Second
+
+	// emptyWait is the time to come back if no server is known.
+	emptyWait = time.Second
+)
+
+type (
+	// Reason tells why a server was chosen, or why none was.
+	Reason string
+
+	// Request is what a choice needs to know of a request.
+	Request struct {
+		Service sassafrastray.ServiceName
+		// Object is what the request is about, or empty.
+		Object string
+		Sticky bool
+		// Regions are where it may be served, all that apply: one list for
+		// each rule. An empty list allows every region.
+		Regions [2][]sassafrastray.RegionName
+		// Only is the version that the request must go to, Except one that
+		// it must not go to; empty means any of those in force.
+		Only, Except sassafrastray.VersionName
+		// Narrow sends requests to as few servers as can take them.
+		Narrow bool
+		// Rank is the request's urgency, 0 first.
+		Rank      int
+		Objective time.Duration
+		// Left is the time until nobody waits for the answer.
+		Left    time.Duration
+		Exclude []sassafrastray.BackendName
+	}
+
+	// Choice is a server for a request. It holds a place at the server until
+	// Done.
+	Choice struct {
+		Server sassafrastray.BackendServer
+		Reason Reason
+		// Wait is the time after which a refused request may fare better.
+		Wait time.Duration
+		// Expected is the time that the answer should take, and Load the
+		// estimated requests at the server.
+		Expected time.Duration
+		Load     float64
+		// Usual is the time that an answer takes at a server of the service
+		// that knows the object; zero excuses a server that is cold.
+		Usual time.Duration
+		// Warm tells whether the server is taken to know the object.
+		Warm bool
+		// Age is the age of the load report that the choice rests on; it is
+		// negative if there was none.
+		Age time.Duration
+
+		server *server
+		object uint64
+		work   time.Duration
+	}
+
+	// candidate is a server that could take the request.
+	candidate struct {
+		server *server
+		warm   bool
+		first  bool
+		cost   time.Duration
+		wait   time.Duration
+		work   time.Duration
+		load   float64
+	}
+)
+
+// Pick chooses the server for a request. It returns false if none should get
+// it; the choice then has the reason and when to come back.
+func (t *Table) Pick(r Request, now time.Time) (Choice, bool) {
+	svc := t.services[r.Service]
+	if svc == nil {
+		return Choice{Reason: None, Wait: emptyWait}, false
+	}
+	svc.detours = min(mostDetour, svc.detours+detourPart)
+	object, part := t.object(r)
+	near, away := t.best(svc, &r, object, now)
+	own, other, reason := near, away, Preferred
+	if part < svc.far && away.server != nil {
+		own, other, reason = away, near, Away
+	}
+	switch {
+	case own.server == nil && other.server == nil:
+		return Choice{Reason: None, Wait: t.opening(svc, &r, now)}, false
+	case own.server == nil:
+		own, reason = other, Detour
+	case other.server != nil && svc.detours >= 1 && r.late(own) && !r.late(other):
+		own, reason = other, Detour
+		svc.detours--
+	case reason == Preferred && !own.first:
+		reason = Spread
+	}
+	if r.refuses(own) {
+		return Choice{Reason: Busy, Wait: t.comeBack(own.wait), Load: own.load, Expected: own.cost}, false
+	}
+	return t.take(own, object, reason, now), true
+}
+
+// late tells whether the server would answer after the objective because of
+// the requests before it.
+func (r *Request) late(c candidate) bool {
+	return c.cost > r.objective() && c.wait > r.objective()/4
+}
+
+func (r *Request) objective() time.Duration {
+	if r.Objective <= 0 {
+		return usualObjective
+	}
+	return r.Objective
+}
+
+// refuses tells whether the request is better refused than sent: it would wait
+// longer than its urgency is worth, or its answer would come to nobody.
+func (r *Request) refuses(c candidate) bool {
+	part := patienceRest
+	switch r.Rank {
+	case 0:
+		part = patienceFirst
+	case 1:
+		part = patienceUsual
+	}
+	if c.wait > time.Duration(part*float64(r.objective())) {
+		return true
+	}
+	return c.wait > 0 && c.wait+c.work > r.Left
+}
+
+// comeBack spreads the returns of refused requests over the time after which
+// the server's queue is worked off.
+func (t *Table) comeBack(wait time.Duration) time.Duration {
+	d := min(mostWait, max(leastWait, wait))
+	return d + time.Duration(t.rng.Int64N(int64(d)/2+1))
+}
+
+// object returns the hash of the request's object, and which part of all
+// objects it is in, between 0 and 1.
+func (t *Table) object(r Request) (hash uint64, part float64) {
+	if !r.Sticky || r.Object == "" {
+		return 0, t.rng.Float64()
+	}
+	hash = xxhash.Sum64String(r.Object)
+	return hash, float64(mix(hash, 0x9e3779b97f4a7c15)>>11) / (1 << 53)
+}
+
+// best returns the best server of the VM's region and of all other regions.
+func (t *Table) best(svc *service, r *Request, object uint64, now time.Time) (near, away candidate) {
+	near.cost, away.cost = math.MaxInt64, math.MaxInt64
+	for region, list := range svc.servers {
+		if !allowed(r.Regions, region) {
+			continue
+		}
+		c, ok := t.bestOf(svc, list, r, object, now)
+		switch {
+		case !ok:
+		case region == t.opt.Region:
+			near = c
+		case c.cost < away.cost:
+			away = c
+		}
+	}
+	return near, away
+}
+
+func allowed(rules [2][]sassafrastray.RegionName, region sassafrastray.RegionName) bool {
+	for _, list := range rules {
+		if len(list) > 0 && !slices.Contains(list, region) {
+			return false
+		}
+	}
+	return true
+}
+
+// bestOf returns the server of one region that should answer first.
+func (t *Table) bestOf(svc *service, list []*server, r *Request, object uint64, now time.Time) (candidate, bool) {
+	first := t.preferred(svc, list, r, object)
+	best, found := candidate{}, false
+	for _, s := range list {
+		if !svc.runs(s, r) || !s.usable(now) || slices.Contains(r.Exclude, s.Name) {
+			continue
+		}
+		c := t.weigh(svc, s, object, s == first, now)
+		if r.Narrow && c.load < float64(s.Slots) {
+			return c, true
+		}
+		if !found || c.cost < best.cost {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// preferred returns the server of a region that the object prefers, whether or not
+// it can take a request now.
+func (t *Table) preferred(svc *service, list []*server, r *Request, object uint64) *server {
+	if object == 0 {
+		return nil
+	}
+	var best *server
+	var top uint64
+	for _, s := range list {
+		if s.Leaving || s.evacuated || !svc.runs(s, r) {
+			continue
+		}
+		if h := mix(object, s.hash); best == nil || h > top {
+			best, top = s, h
+		}
+	}
+	return best
+}
+
+// runs tells whether the server's version may get the request.
+func (s *service) runs(v *server, r *Request) bool {
+	switch {
+	case r.Only != "":
+		return v.Version == r.Only
+	case v.Version == r.Except:
+		return false
+	}
+	return s.base[v.Version]
+}
+
+// weigh estimates when the server would answer.
+func (t *Table) weigh(svc *service, s *server, object uint64, first bool, now time.Time) candidate {
+	s.fade(now)
+	c := candidate{server: s, first: first, load: s.load(now)}
+	c.warm = object == 0 || first || s.knows(object)
+	c.work = time.Duration(float64(svc.work(c.warm)) * s.slow)
+	if s.isCold(now) {
+		c.work *= 2
+	}
+	slots := float64(max(1, s.Slots))
+	if c.load >= slots {
+		c.wait = time.Duration(float64(svc.warm) * s.slow * (c.load - slots + 1) / slots)
+	}
+	c.cost = t.distance(s.region) + c.work + c.wait +
+		time.Duration(balance*float64(svc.warm)*min(1, c.load/slots)) +
+		time.Duration(s.failing*float64(failurePenalty))
+	return c
+}
+
+// take holds a place at the server.
+func (t *Table) take(c candidate, object uint64, reason Reason, now time.Time) Choice {
+	s := c.server
+	s.inflight++
+	if s.isCold(now) {
+		s.nextCold = now.Add(t.coldGap(s))
+	}
+	if s.probation() {
+		s.trial = true
+	}
+	usual := s.service.warm + t.distance(s.region) + c.wait
+	if s.isCold(now) {
+		usual = 0
+	}
+	age := time.Duration(-1)
+	if !s.reported.IsZero() {
+		age = now.Sub(s.reported)
+	}
+	return Choice{
+		Server: s.BackendServer, Reason: reason, Expected: c.cost, Load: c.load, Warm: c.warm, Age: age, Usual: usual,
+		server: s, object: object, work: c.work,
+	}
+}
+
+// coldGap is the time between two requests of this VM to a cold server, such
+// that all VMs together stay within the bound in any second. If there are more
+// VMs than requests allowed, chance decides which of them use the server.
+func (t *Table) coldGap(s *server) time.Duration {
+	bound := coldPart * (s.service.coldRate*t.opt.Bounds.ColdFactor + t.opt.Bounds.ColdReserve)
+	each := math.Floor(bound / float64(t.fleet))
+	if each >= 1 {
+		return time.Duration(1.05 * float64(time.Second) / each)
+	}
+	gap := float64(time.Second) * float64(t.fleet) / max(bound, 1)
+	return time.Duration(gap * (1 + t.rng.Float64()))
+}
+
+// opening returns when a server may take the request that none can take now.
+func (t *Table) opening(svc *service, r *Request, now time.Time) time.Duration {
+	wait := emptyWait
+	for region, list := range svc.servers {
+		if !allowed(r.Regions, region) {
+			continue
+		}
+		for _, s := range list {
+			if !s.Leaving && !s.evacuated && svc.runs(s, r) {
+				wait = min(wait, max(leastWait, later(s.blockedUntil, s.nextCold).Sub(now)))
+			}
+		}
+	}
+	return t.comeBack(wait)
+}
+
+// Done gives the place at the server back. Took is the time from the choice to
+// the end of the answer, and report the server's own load, if the answer had
+// one.
+func (t *Table) Done(c Choice, e End, took time.Duration, report *sassafrastray.BackendLoad, now time.Time) {
+	s := c.server
+	if s == nil {
+		return
+	}
+	s.inflight--
+	work := max(0, took-t.distance(s.region))
+	s.end(e, work, c.work, now)
+	if report != nil {
+		s.others, s.reported = max(0, report.Running+report.Waiting-s.inflight-1), now
+	}
+	if e != OK {
+		return
+	}
+	if c.object != 0 {
+		s.learn(c.object, now)
+	}
+	if c.Load < float64(s.Slots) && s.slow < 2 && !s.isCold(now) {
+		s.service.took(work, c.Warm)
+	}
+}
+
+// mix hashes two hashes into one.
+func mix(a, b uint64) uint64 {
+	x := a ^ (b + 0x9e3779b97f4a7c15 + a<<6 + a>>2)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/internal/traffic/placement/service.go
@@ -0,0 +1,173 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"sassafrastray"
+)
+
+const (
+	// usualWarm and usualCold are the times of work that are assumed before
+	// any was measured.
+	usualWarm = 150 * time.Millisecond
+	usualCold = 400 * time.Millisecond
+
+	// full is the part of the slots of a region's servers above which
+	// objects go to other regions.
+	full = 0.75
+
+	// evenly scales the first share of other regions: a region that has less
+	// than its even part of the slots, times this, sends the rest away.
+	evenly = 1.8
+
+	// tickTime is the usual time between two calls of Tick.
+	tickTime = 200 * time.Millisecond
+
+	// shiftPart is the part of the bound on shifts between regions, per
+	// second, by which the share may change.
+	shiftPart = 0.25
+
+	// smooth is the weight of a new reading of the load.
+	smooth = 0.2
+
+	// mostFar bounds the share of other regions.
+	mostFar = 0.9
+)
+
+// service is what a Table knows of one service.
+type service struct {
+	name     sassafrastray.ServiceName
+	cold     time.Duration
+	coldRate float64
+	// servers are in the order of their names, by region.
+	servers map[sassafrastray.RegionName][]*server
+	// base are the versions that requests go to when they ask for none.
+	base map[sassafrastray.VersionName]bool
+	// begun is set once the first share of other regions is known.
+	begun bool
+	// far is the part of the objects that go to other regions.
+	far float64
+	// busy is the smoothed part of the near slots in use.
+	busy float64
+	// warm and coldWork are the measured times of work on an object that
+	// the server knew, and on another.
+	warm, coldWork time.Duration
+	// detours is how many requests may leave their object's share.
+	detours float64
+}
+
+func newService(name sassafrastray.ServiceName) *service {
+	return &service{
+		name: name, warm: usualWarm, coldWork: usualCold,
+		servers: make(map[sassafrastray.RegionName][]*server),
+		base:    make(map[sassafrastray.VersionName]bool),
+	}
+}
+
+func (s *service) add(v *server) {
+	list := s.servers[v.region]
+	i, _ := slices.BinarySearchFunc(list, v, func(a, b *server) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	s.servers[v.region] = slices.Insert(list, i, v)
+}
+
+func (s *service) remove(v *server) {
+	list := s.servers[v.region]
+	if i := slices.Index(list, v); i >= 0 {
+		s.servers[v.region] = slices.Delete(list, i, i+1)
+	}
+}
+
+// rest keeps a service reachable whose servers were all replaced by another
+// version without a rollout.
+func (s *service) rest() {
+	present := make(map[sassafrastray.VersionName]bool)
+	for _, list := range s.servers {
+		for _, v := range list {
+			if s.base[v.Version] {
+				return
+			}
+			present[v.Version] = true
+		}
+	}
+	if len(present) > 0 {
+		s.base = present
+	}
+}
+
+// start sets the first share of other regions from the slots, when the first
+// servers are known.
+func (s *service) start(t *Table) {
+	near, all := 0, 0
+	for region, list := range s.servers {
+		for _, v := range list {
+			if v.Leaving || v.evacuated {
+				continue
+			}
+			all += v.Slots
+			if region == t.opt.Region {
+				near += v.Slots
+			}
+		}
+	}
+	if s.begun || all == 0 {
+		return
+	}
+	s.begun = true
+	regions := map[sassafrastray.RegionName]bool{}
+	for _, r := range t.opt.Regions {
+		regions[r] = true
+	}
+	even := float64(all) / float64(max(1, len(regions)))
+	s.far = min(mostFar, max(0, 1-evenly*float64(near)/even))
+}
+
+// tick moves the share of other regions towards what would leave the near
+// servers as full as they should be.
+func (s *service) tick(t *Table, now time.Time) {
+	near, nearSlots, away, awaySlots := 0.0, 0, 0.0, 0
+	for region, list := range s.servers {
+		for _, v := range list {
+			if v.Leaving || v.evacuated || now.Before(v.blockedUntil) {
+				continue
+			}
+			if region == t.opt.Region {
+				near, nearSlots = near+v.load(now), nearSlots+v.Slots
+			} else {
+				away, awaySlots = away+v.load(now), awaySlots+v.Slots
+			}
+		}
+	}
+	if nearSlots == 0 || awaySlots == 0 {
+		return
+	}
+	s.busy += smooth * (near/float64(nearSlots) - s.busy)
+	want := 0.0
+	if all := s.busy / max(1-mostFar, 1-s.far); all > full {
+		want = 1 - full/all
+	}
+	if away/float64(awaySlots) > 1 {
+		want = min(want, s.far)
+	}
+	step := t.opt.Bounds.Shift * shiftPart * tickTime.Seconds()
+	s.far = min(mostFar, max(0, s.far+math.Copysign(min(step, math.Abs(want-s.far)), want-s.far)))
+}
+
+// took takes in the time of a request's work without the distance.
+func (s *service) took(d time.Duration, warm bool) {
+	of := &s.coldWork
+	if warm {
+		of = &s.warm
+	}
+	*of += time.Duration(gain / 4 * float64(d-*of))
+}
+
+// work returns the expected time of work.
+func (s *service) work(warm bool) time.Duration {
+	if warm {
+		return s.warm
+	}
+	return max(s.warm, s.coldWork)
+}
--- a/internal/traffic/retry/retry.go
+++ b/internal/traffic/retry/retry.go
@@ -49,6 +49,11 @@
 		Deadline   time.Time
 		// Expected is the measured time that a try takes.
 		Expected time.Duration
+		// Most bounds the tries of this request, if it is set.
+		Most int
+		// Unsent tells that no backend server got a byte, which costs the
+		// budget nothing.
+		Unsent bool
 		// Backend is the backend server of the try, if it got one, and
 		// Exclude those of earlier tries.
 		Backend sassafrastray.BackendName
@@ -106,7 +111,7 @@
 	if !now.Add(pause + a.Expected).Before(a.Deadline) {
 		return Decision{Reason: Deadline}
 	}
-	if !moved(a) {
+	if !moved(a) && !a.Unsent {
 		if p.tokens(a.Service) < 1 {
 			return Decision{Reason: Budget}
 		}
@@ -126,12 +131,19 @@
 		return Final
 	case a.Result != sassafrastray.NotRun && !a.Idempotent:
 		return Maybe
-	case a.Number >= p.opt.Attempts:
+	case a.Number >= p.most(a):
 		return Attempts
 	}
 	return Allowed
 }
 
+func (p *Policy) most(a Attempt) int {
+	if a.Most > 0 {
+		return a.Most
+	}
+	return p.opt.Attempts
+}
+
 // passing reports whether another try may end otherwise.
 func passing(r sassafrastray.Reason) bool {
 	switch r {
--- a/internal/traffic/route/route.go
+++ b/internal/traffic/route/route.go
@@ -16,6 +16,13 @@
 		services map[string]*entry
 	}
 
+	// Hosts finds the routes that belong to no single service. It is
+	// immutable.
+	Hosts struct {
+		// routes has the longest path first.
+		routes map[string][]*sassafrastray.Route
+	}
+
 	// Match is the outcome of a look-up. Service and Route are nil from the
 	// step on that Reason says has failed.
 	Match struct {
@@ -41,9 +48,7 @@
 		for j := range s.Routes {
 			e.routes = append(e.routes, &s.Routes[j])
 		}
-		slices.SortStableFunc(e.routes, func(a, b *sassafrastray.Route) int {
-			return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), cmp.Compare(a.Name, b.Name))
-		})
+		slices.SortStableFunc(e.routes, longest)
 		for _, h := range s.Hosts {
 			t.services[h] = e
 		}
@@ -73,6 +78,39 @@
 	return Match{Service: e.service, Reason: reason}
 }
 
+// NewHosts returns the table of the configuration's own routes. The table keeps
+// pointers into the configuration.
+func NewHosts(c *sassafrastray.Config) *Hosts {
+	h := &Hosts{routes: map[string][]*sassafrastray.Route{}}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := trimHost(r.Host)
+		h.routes[host] = append(h.routes[host], r)
+	}
+	for _, list := range h.routes {
+		slices.SortStableFunc(list, longest)
+	}
+	return h
+}
+
+// Find returns the route of the host with the longest path that begins the
+// given one, or nil.
+func (h *Hosts) Find(host, path string) *sassafrastray.Route {
+	for _, r := range h.routes[trimHost(host)] {
+		if strings.HasPrefix(path, r.Path) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Of returns all routes of a host.
+func (h *Hosts) Of(host string) []*sassafrastray.Route { return h.routes[trimHost(host)] }
+
+func longest(a, b *sassafrastray.Route) int {
+	return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), cmp.Compare(a.Name, b.Name))
+}
+
 // Under tells whether path is prefix or lies below it: a prefix ends at a
 // segment boundary.
 func Under(prefix, path string) bool {
--- /dev/null
+++ b/internal/traffic/split/split.go
@@ -0,0 +1,53 @@
+// Package split divides the requests of a route among its services by weight,
+// request by request: after any number of requests each service has had its
+// part of them to within one.
+package split
+
+import (
+	"sync"
+
+	"sassafrastray"
+)
+
+// Splitter divides the requests of all routes of one VM. It is safe for
+// concurrent use.
+type Splitter struct {
+	mu     sync.Mutex
+	routes map[sassafrastray.RouteName]map[sassafrastray.ServiceName]int
+}
+
+// New returns a Splitter that has seen no request.
+func New() *Splitter {
+	return &Splitter{routes: make(map[sassafrastray.RouteName]map[sassafrastray.ServiceName]int)}
+}
+
+// Next returns the service of the route's next request.
+func (s *Splitter) Next(r *sassafrastray.Route) sassafrastray.ServiceName {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owed := s.routes[r.Name]
+	if owed == nil {
+		owed = make(map[sassafrastray.ServiceName]int, len(r.Targets))
+		s.routes[r.Name] = owed
+	}
+	total, best := 0, sassafrastray.ServiceName("")
+	for _, t := range r.Targets {
+		total += t.Weight
+		owed[t.Service] += t.Weight
+		if best == "" || owed[t.Service] > owed[best] {
+			best = t.Service
+		}
+	}
+	owed[best] -= total
+	return best
+}
+
+// Reset forgets the debts of all routes, whose weights may have changed.
+func (s *Splitter) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.routes)
+}
--- a/internal/traffic/upstream/body.go
+++ b/internal/traffic/upstream/body.go
@@ -19,6 +19,9 @@
 		now  func() time.Time
 	}
 
+	// untilEOF reads a connection up to its orderly end.
+	untilEOF struct{ c *conn }
+
 	// answerBody is the body of an answer. It returns its connection to the
 	// pool once the whole body was read, and closes it otherwise.
 	answerBody struct {
@@ -45,6 +48,9 @@
 	return n, err
 }
 
+// Read returns what the connection's buffer and the connection hold.
+func (u *untilEOF) Read(p []byte) (int, error) { return u.c.r.Read(p) }
+
 // Read returns io.ErrUnexpectedEOF if the connection ended before the body;
 // fasthttp's stream of an answer sees to that.
 func (b *answerBody) Read(p []byte) (int, error) {
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/netip"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +25,9 @@
 	Aborted   Failure = "aborted"   // Abort was called
 	Body      Failure = "body"      // the request's own body could not be read
 	Declined  Failure = "declined"  // Ready said no
+
+	// stopped is a request whose rest was not written, as it was answered.
+	stopped Failure = "stopped"
 )
 
 const (
@@ -32,6 +37,14 @@
 
 	// idHeader carries the request's id in both directions.
 	idHeader = "Request-Id"
+
+	// unframed is the library's length of an answer that ends with its
+	// connection.
+	unframed = -2
+
+	// longBody is the size of a request's body in bytes above which the
+	// answer is read while the body is written.
+	longBody = 8 << 10
 )
 
 type (
@@ -65,6 +78,8 @@
 		mu      sync.Mutex
 		conn    *conn
 		aborted bool
+		// stopped is set when the rest of the request is not wanted.
+		stopped bool
 	}
 
 	// Outcome tells how far an exchange got.
@@ -132,11 +147,11 @@
 	// The answer is read into a response of its own, because the stream that
 	// fasthttp attaches to a response can't be wrapped in place.
 	raw := fasthttp.AcquireResponse()
-	out := e.write(c, req)
-	if out.Failure == None {
-		out = e.read(c, req, raw)
-	} else if out.Failure == Cut && e.salvage(c, req, raw) {
-		out = Outcome{Sent: true}
+	var out Outcome
+	if e.call.Body == nil && len(req.Body()) > longBody {
+		out = e.overlap(c, req, raw)
+	} else {
+		out = e.inTurn(c, req, raw)
 	}
 	if out.Failure != None {
 		c.Close()
@@ -147,6 +162,67 @@
 	return out
 }
 
+// inTurn writes the request and then reads the answer.
+func (e *Exchange) inTurn(c *conn, req *fasthttp.Request, raw *fasthttp.Response) Outcome {
+	out := e.write(c, req)
+	if out.Failure == None {
+		return e.read(c, req, raw)
+	}
+	if out.Failure == Cut && e.salvage(c, req, raw) {
+		return Outcome{Sent: true}
+	}
+	return out
+}
+
+// overlap reads the answer while a long request is still being written, since a
+// backend server may answer before it has read the body. The rest of the body
+// is then not sent: its connection is closed, because whatever else was sent
+// there would be taken for that rest.
+func (e *Exchange) overlap(c *conn, req *fasthttp.Request, raw *fasthttp.Response) Outcome {
+	written := make(chan Outcome, 1)
+	go func() { written <- e.write(c, req) }()
+	out := e.read(c, req, raw)
+	select {
+	case w := <-written:
+		return overlapped(out, w, raw)
+	default:
+	}
+	// The writer is stopped before the answer is passed on, as the request
+	// belongs to the caller again then.
+	e.stop(c)
+	return overlapped(out, <-written, raw)
+}
+
+// overlapped joins the outcomes of reading and writing. An answer counts even
+// if the request could not be written, but its connection is not kept.
+func overlapped(read, wrote Outcome, raw *fasthttp.Response) Outcome {
+	if wrote.Failure == None {
+		return read
+	}
+	raw.SetConnectionClose()
+	if read.Failure != None {
+		if wrote.Failure != stopped {
+			return wrote
+		}
+		read.Sent = wrote.Sent
+	}
+	return read
+}
+
+// stop ends the writing of the request.
+func (e *Exchange) stop(c *conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopped = true
+	c.SetWriteDeadline(time.Unix(1, 0))
+}
+
+func (e *Exchange) isStopped() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stopped
+}
+
 func (e *Exchange) write(c *conn, req *fasthttp.Request) Outcome {
 	var body *bodyReader
 	if e.call.Body != nil {
@@ -163,6 +239,8 @@
 		return Outcome{Sent: true}
 	case e.isAborted():
 		return Outcome{Failure: Aborted, Sent: c.wrote, Err: err}
+	case e.isStopped():
+		return Outcome{Failure: stopped, Sent: c.wrote, Err: err}
 	case body != nil && body.err != nil && c.writeErr == nil:
 		return Outcome{Failure: Body, Sent: c.wrote, Err: body.err}
 	case os.IsTimeout(err):
@@ -181,8 +259,33 @@
 	return out.Failure == None
 }
 
+// read reads the header of the request's answer. Answers to other requests that
+// come before it are dropped, as many as the pool's options allow.
 func (e *Exchange) read(c *conn, req *fasthttp.Request, resp *fasthttp.Response) Outcome {
-	c.SetDeadline(e.call.Deadline)
+	for strays := 0; ; strays++ {
+		out := e.readOne(c, req, resp)
+		if out.Failure != Crossed || strays >= e.pool.opt.Strays || !skip(resp) {
+			return out
+		}
+	}
+}
+
+// skip reads the rest of an answer that belongs to another request.
+func skip(resp *fasthttp.Response) bool {
+	if resp.Header.ContentLength() == unframed || resp.ConnectionClose() {
+		return false
+	}
+	if s := resp.BodyStream(); s != nil {
+		if _, err := io.Copy(io.Discard, s); err != nil {
+			return false
+		}
+	}
+	resp.Reset()
+	return true
+}
+
+func (e *Exchange) readOne(c *conn, req *fasthttp.Request, resp *fasthttp.Response) Outcome {
+	c.SetReadDeadline(e.call.Deadline)
 	resp.StreamBody = true
 	resp.SkipBody = req.Header.IsHead()
 	err := resp.ReadLimitBody(c.r, 0)
@@ -198,15 +301,29 @@
 	default:
 		return Outcome{Failure: Malformed, Sent: true, Err: err}
 	}
-	if id := resp.Header.Peek(idHeader); len(id) > 0 && string(id) != string(req.Header.Peek(idHeader)) {
+	if id := resp.Header.Peek(e.pool.opt.ID); len(id) > 0 && string(id) != string(req.Header.Peek(e.pool.opt.ID)) {
 		return Outcome{Failure: Crossed, Sent: true, Err: errors.Newf("answer for request %q", id)}
 	}
-	if !resp.SkipBody && resp.Header.ContentLength() == -2 && bodyAllowed(resp.StatusCode()) {
+	c.idle = keepFor(resp)
+	if !e.pool.opt.Unframed && !resp.SkipBody && resp.Header.ContentLength() == unframed && bodyAllowed(resp.StatusCode()) {
 		return Outcome{Failure: Malformed, Sent: true, Err: errors.New("answer has no length")}
 	}
 	return Outcome{Sent: true}
 }
 
+// keepFor returns how long the other side keeps an idle connection, or zero if
+// it does not say.
+func keepFor(resp *fasthttp.Response) time.Duration {
+	for part := range strings.SplitSeq(string(resp.Header.Peek("Keep-Alive")), ",") {
+		if n, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if s, err := strconv.Atoi(n); err == nil && s > 0 {
+				return time.Duration(s) * time.Second
+			}
+		}
+	}
+	return 0
+}
+
 // bodyAllowed reports whether an answer with the status has a body.
 func bodyAllowed(status int) bool {
 	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
@@ -224,10 +341,16 @@
 		e.release(c, keep)
 		return
 	}
-	resp.SetBodyStream(&answerBody{
+	body := &answerBody{
 		e: e, c: c, raw: raw, r: raw.BodyStream(), wait: e.call.Progress, end: e.call.Deadline,
 		now: e.pool.clock.Now, keep: keep, size: size,
-	}, size)
+	}
+	if size == unframed {
+		// The library would take a broken connection for the body's end.
+		body.r, body.keep, size = &untilEOF{c}, false, -1
+		body.size = size
+	}
+	resp.SetBodyStream(body, size)
 }
 
 // release gives the connection back, or closes it.
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -27,6 +27,10 @@
 	// carry a request that must not be executed twice.
 	provedFor = time.Second
 
+	// spare is how long before the other side closes an idle connection it
+	// is no longer used.
+	spare = time.Second
+
 	// userTimeout is how long sent bytes may stay unacknowledged before the
 	// kernel gives the connection up.
 	userTimeout = 6 * time.Second
@@ -45,6 +49,14 @@
 		Idle time.Duration
 		// MaxIdle is how many unused connections are kept per address.
 		MaxIdle int
+		// ID is the header that carries a request's id in both directions;
+		// empty means Request-Id.
+		ID string
+		// Strays is how many answers to other requests may be dropped before
+		// the one that belongs to the request.
+		Strays int
+		// Unframed accepts answers whose end is that of their connection.
+		Unframed bool
 	}
 
 	// Pool keeps connections by address.
@@ -67,6 +79,9 @@
 		w       *bufio.Writer
 		opened  time.Time
 		used    time.Time
+		// idle is how long the other side keeps the connection without a
+		// request, if it says so.
+		idle time.Duration
 
 		// wrote is set before the first byte of an exchange is handed to the
 		// kernel, whether or not the kernel accepts it.
@@ -78,6 +93,9 @@
 
 // New returns a Pool without connections.
 func New(clock sassafrastray.Clock, opt Options) *Pool {
+	if opt.ID == "" {
+		opt.ID = idHeader
+	}
 	return &Pool{
 		clock: clock, opt: opt,
 		idle:    make(map[netip.AddrPort][]*conn),
@@ -116,7 +134,7 @@
 		list = list[:len(list)-1]
 		p.idle[address] = list
 		age := now.Sub(c.used)
-		old := age > p.opt.Idle || (proved && age > provedFor) || c.opened.Before(p.suspect[address])
+		old := age > p.idleFor(c) || (proved && age > provedFor) || c.opened.Before(p.suspect[address])
 		if old || !quiet(c.Conn) {
 			c.Close()
 			continue
@@ -129,6 +147,14 @@
 	return p.dial(address, now, deadline)
 }
 
+// idleFor returns how long the connection may stay unused.
+func (p *Pool) idleFor(c *conn) time.Duration {
+	if c.idle > 0 {
+		return min(p.opt.Idle, max(0, c.idle-spare))
+	}
+	return p.opt.Idle
+}
+
 func (p *Pool) dial(address netip.AddrPort, now, deadline time.Time) (*conn, error) {
 	d := net.Dialer{
 		Timeout: min(p.opt.Dial, deadline.Sub(now)),
@@ -190,7 +216,7 @@
 	for a, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.used) > p.opt.Idle {
+			if now.Sub(c.used) > p.idleFor(c) {
 				c.Close()
 				continue
 			}
--- a/route.go
+++ b/route.go
@@ -24,5 +24,29 @@
 		// Stale is how long a VM that hears of no configuration goes on
 		// accepting keys on this route. Zero means for ever.
 		Stale time.Duration `json:"stale,omitempty"`
+
+		// Host is the host of a route that belongs to no single service.
+		Host string `json:"host,omitempty"`
+		// Targets are the services that such a route's requests go to, by
+		// weight.
+		Targets []Target `json:"targets,omitempty"`
+		// Objective is the time within which an answer is worth most.
+		Objective time.Duration `json:"objective,omitempty"`
+		// Priority ranks requests when not all can be served; 0 comes first.
+		Priority int `json:"priority,omitempty"`
+		// Attempts bounds the backend servers that one request is sent to.
+		Attempts int `json:"attempts,omitempty"`
+		// Sticky routes fare better on a backend server that has handled
+		// the request's object lately.
+		Sticky bool `json:"sticky,omitempty"`
+		// Regions are where the route's requests may be served; empty means
+		// everywhere.
+		Regions []RegionName `json:"regions,omitempty"`
+	}
+
+	// Target is a service's part of a route's requests.
+	Target struct {
+		Service ServiceName `json:"service"`
+		Weight  int         `json:"weight"`
 	}
 )
--- a/service.go
+++ b/service.go
@@ -19,6 +19,15 @@
 		Routes   []Route         `json:"routes"`
 		Backends []BackendServer `json:"backends"`
 		Move     *Move           `json:"move,omitempty"`
+
+		// Health is the path that tells whether a backend server is well.
+		Health string `json:"health,omitempty"`
+		// Connections bounds a backend server's connections from all VMs.
+		Connections int `json:"connections,omitempty"`
+		// Cold is how long a backend server stays cold after its start, and
+		// ColdRate the requests per second that it stands meanwhile.
+		Cold     time.Duration `json:"cold,omitempty"`
+		ColdRate float64       `json:"coldrate,omitempty"`
 	}
 
 	// BackendServer is one process of the service's owners that answers
@@ -32,6 +41,16 @@
 		Version VersionName `json:"version"`
 		// Leaving backend servers receive no new work.
 		Leaving bool `json:"leaving,omitempty"`
+
+		// Service is set for backend servers that name their service
+		// themselves.
+		Service ServiceName `json:"service,omitempty"`
+		// Cold is how much longer the server is cold, as it said itself.
+		Cold time.Duration `json:"cold,omitempty"`
+		// Born tells a restart under the same name from the run before; the
+		// later run has the greater one. Sequence grows within a run.
+		Born     int64 `json:"born,omitempty"`
+		Sequence int64 `json:"sequence,omitempty"`
 	}
 
 	// Move is an operator's wish to shift a service's traffic from one
--- a/team.go
+++ b/team.go
@@ -5,6 +5,15 @@
 	Team struct {
 		Name TeamName    `json:"name"`
 		Keys []KeyDigest `json:"keys"`
+		// Rate and Burst bound the team's requests of all services together,
+		// in requests per second and requests; a zero rate means no bound.
+		Rate  float64 `json:"rate,omitempty"`
+		Burst int     `json:"burst,omitempty"`
+		// Priority goes before a route's own, if it is set.
+		Priority *int `json:"priority,omitempty"`
+		// Regions are where the team's requests may be served; empty means
+		// everywhere.
+		Regions []RegionName `json:"regions,omitempty"`
 	}
 
 	// KeyDigest is the SHA-256 digest of a key, in lower-case hexadecimal.
