Prefer an object's two servers more, and lend a quota over its whole window

Cause: objects belong to a region, and a server knows the last 25 of them. A third of the catalogue's requests went to servers that had not seen the object (640 ms in place of 200). A team whose rate was lowered was held to the rate alone, though rate x 5 s + burst is its due. Change: an unknown object costs a server extra; the first and second choice are stable; other regions are one ranking; buckets hold 0.3 of the burst and the rest is added to the rate.

--- a/bounds.go
+++ b/bounds.go
@@ -23,6 +23,12 @@
 	RetryRatio   float64
 	RetryWindow  time.Duration
 	RetryReserve int
+	// In any QuotaWindow, a team gets at most its rate over the window and its
+	// burst, and QuotaOver of that and QuotaReserve requests on top while VMs
+	// learn of each other's demand.
+	QuotaWindow  time.Duration
+	QuotaOver    float64
+	QuotaReserve int
 	// ColdFactor and ColdReserve bound what a cold backend server gets in a
 	// second: its rate times the factor, plus the reserve.
 	ColdFactor  float64
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -204,7 +204,9 @@
 	v.places = &places{clock: v.clock, table: placement.New(placement.Options{
 		Self: v.self.Name, Region: v.opt.Region, Regions: v.opt.Regions, Bounds: v.opt.Bounds,
 	}, v.random())}
-	v.quotas = &quotas{clock: v.clock, book: allotment.New(len(v.opt.Regions))}
+	v.quotas = &quotas{clock: v.clock, book: allotment.New(allotment.Options{
+		Fleet: len(v.opt.Regions), Window: v.opt.Bounds.QuotaWindow, Reserve: v.opt.Bounds.QuotaReserve,
+	})}
 	v.rollouts = &rollouts{clock: v.clock, desk: canary.New(v.opt.Bounds.Exposure)}
 	v.handler = ingress.New(ingress.Deps{
 		Clock: v.times, Log: v.log, Dialect: v.opt.Dialect, Region: v.opt.Region, Pool: v.pool,
--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -9,6 +9,10 @@
 // gives itself no more than that. A VM takes a larger part only after the
 // others have had the time to hear of the demand that it rests on.
 //
+// What a team may have in any window is its rate over the window and its
+// burst. The VMs' token buckets together give no more than that: most of the
+// burst is added to the rate, and the rest is the size of the buckets.
+//
 // Nothing here does I/O. Callers hold a lock around all calls.
 package allotment
 
@@ -34,8 +38,13 @@
 	// demandTime is the time constant of the measured demand.
 	demandTime = 2 * time.Second
 
-	// leastBurst is the smallest burst of one VM, in requests.
-	leastBurst = 1.8
+	// bucketPart is the part of a burst that is the size of the buckets.
+	bucketPart = 0.3
+
+	// reservePart is the part of the reserve for the time in which VMs learn
+	// of each other that enlarges the buckets, so that a VM with a small part
+	// of a small burst can admit two requests in a row.
+	reservePart = 0.6
 
 	// startFill is the part of its burst that a VM has when it starts, since
 	// an earlier run of it may have spent the rest.
@@ -48,6 +57,18 @@
 )
 
 type (
+	// Options are the bounds of a Book.
+	Options struct {
+		// Fleet is the number of VMs that are assumed until as many are
+		// known.
+		Fleet int
+		// Window is the span over which a team's requests are bounded.
+		Window time.Duration
+		// Reserve is how many requests a team may have beyond that while VMs
+		// learn of each other.
+		Reserve int
+	}
+
 	// Demands are the requests per second that each team asks of one VM.
 	Demands map[sassafrastray.TeamName]float64
 
@@ -64,7 +85,7 @@
 
 	// Book holds one VM's part of all teams' rates.
 	Book struct {
-		guess int
+		opt   Options
 		teams map[sassafrastray.TeamName]*team
 		peers map[sassafrastray.VMName]*peer
 		// told is what the others can have heard of this VM's demand.
@@ -77,9 +98,11 @@
 	}
 
 	team struct {
-		rate, burst float64
-		tokens      float64
-		filled      time.Time
+		rate, bucket float64
+		// extra is the VM's part of the reserve.
+		extra  float64
+		tokens float64
+		filled time.Time
 		// demand is the moving rate of requests as of counted.
 		demand  float64
 		counted time.Time
@@ -92,11 +115,10 @@
 // refresh is how long a computed share is used.
 const refresh = 200 * time.Millisecond
 
-// New returns a book of a VM that knows no other. Fleet is the number of VMs
-// that are assumed until as many are known.
-func New(fleet int) *Book {
+// New returns a book of a VM that knows no other.
+func New(opt Options) *Book {
 	return &Book{
-		guess: fleet, teams: make(map[sassafrastray.TeamName]*team),
+		opt: opt, teams: make(map[sassafrastray.TeamName]*team),
 		peers: make(map[sassafrastray.VMName]*peer), told: Demands{},
 	}
 }
@@ -114,7 +136,9 @@
 		if t == nil {
 			t = &team{counted: now, filled: now, tokens: -1}
 		}
-		t.rate, t.burst, t.shared = c.Rate, float64(c.Burst), time.Time{}
+		t.bucket = bucketPart * float64(c.Burst)
+		t.rate = c.Rate + (float64(c.Burst)-t.bucket)/b.opt.Window.Seconds()
+		t.shared = time.Time{}
 		next[c.Name] = t
 	}
 	b.teams = next
@@ -209,17 +233,18 @@
 		}
 	}
 	// VMs that were never heard of count too while the VM is new.
-	cut = max(cut, b.guess-heard)
+	cut = max(cut, b.opt.Fleet-heard)
 	reach := float64(heard) / float64(heard+cut)
 	part := 1 / float64(heard)
 	if all > 0 {
 		part = evenPart/float64(heard) + (1-evenPart)*own/all
 	}
 	t.share = reach * part
+	t.extra = reservePart * float64(b.opt.Reserve) / float64(heard+cut)
 }
 
 // room is the greatest number of tokens that the VM holds.
-func (t *team) room() float64 { return max(leastBurst, t.burst*t.share) }
+func (t *team) room() float64 { return max(1, t.bucket*t.share+t.extra) }
 
 func (t *team) fill(now time.Time) {
 	if d := now.Sub(t.filled); d > 0 {
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -141,7 +141,7 @@
 		return
 	}
 	args := []any{
-		"request", q.id, "route", q.routeName(), "team", q.team, "service", q.service, "config", q.config,
+		"request", q.id, "object", q.object, "route", q.routeName(), "team", q.team, "service", q.service, "config", q.config,
 		"reason", reason, "status", q.ctx.Response.StatusCode(), "tries", q.tries, "took", now.Sub(q.arrived),
 		"left", q.deadline.Sub(now), "share", q.verdict.Share, "demands", q.verdict.Age,
 	}
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -35,6 +35,13 @@
 	// one in use appears later than an idle one.
 	balance = 0.3
 
+	// newcomer is the part of the additional work on an unknown object that
+	// counts against a server on top of the work itself, and stranger the
+	// part of the work that counts against one that is neither the first nor
+	// the second choice of the object.
+	newcomer = 0.5
+	stranger = 0.3
+
 	// detourPart is the part of the requests that may leave the region that
 	// their object belongs to, when it would be too late there.
 	detourPart = 0.05
@@ -121,9 +128,10 @@
 	}
 	svc.detours = min(mostDetour, svc.detours+detourPart)
 	object, part := t.object(r)
-	near, away := t.best(svc, &r, object, now)
+	far := part < svc.far
+	near, away := t.best(svc, &r, object, far, now)
 	own, other, reason := near, away, Preferred
-	if part < svc.far && away.server != nil {
+	if far && away.server != nil {
 		own, other, reason = away, near, Away
 	}
 	switch {
@@ -189,22 +197,21 @@
 	return hash, float64(mix(hash, 0x9e3779b97f4a7c15)>>11) / (1 << 53)
 }
 
-// best returns the best server of the VM's region and of all other regions.
-func (t *Table) best(svc *service, r *Request, object uint64, now time.Time) (near, away candidate) {
-	near.cost, away.cost = math.MaxInt64, math.MaxInt64
+// best returns the best server of the VM's region and of all other regions
+// together. Far tells that the object belongs to the share of other regions.
+func (t *Table) best(svc *service, r *Request, object uint64, far bool, now time.Time) (near, away candidate) {
+	var nearby, others []*server
 	for region, list := range svc.servers {
-		if !allowed(r.Regions, region) {
-			continue
-		}
-		c, ok := t.bestOf(svc, list, r, object, now)
 		switch {
-		case !ok:
+		case !allowed(r.Regions, region):
 		case region == t.opt.Region:
-			near = c
-		case c.cost < away.cost:
-			away = c
+			nearby = list
+		default:
+			others = append(others, list...)
 		}
 	}
+	near, _ = t.bestOf(svc, nearby, r, object, true, now)
+	away, _ = t.bestOf(svc, others, r, object, far, now)
 	return near, away
 }
 
@@ -217,42 +224,55 @@
 	return true
 }
 
-// bestOf returns the server of one region that should answer first.
-func (t *Table) bestOf(svc *service, list []*server, r *Request, object uint64, now time.Time) (candidate, bool) {
-	first := t.preferred(svc, list, r, object)
-	best, found := candidate{}, false
+// bestOf returns the server that should answer first. Home tells that the
+// object's requests go to these servers as a rule, so that the one it prefers
+// knows it.
+func (t *Table) bestOf(svc *service, list []*server, r *Request, object uint64, home bool, now time.Time) (candidate, bool) {
+	first, second := preferred(svc, list, r, object)
+	best, found := candidate{cost: math.MaxInt64}, false
 	for _, s := range list {
 		if !svc.runs(s, r) || !s.usable(now) || slices.Contains(r.Exclude, s.Name) {
 			continue
 		}
-		c := t.weigh(svc, s, object, s == first, now)
+		c := t.weigh(svc, s, object, home && s == first, now)
+		if !c.warm {
+			// Work on an object that the server does not know takes slots
+			// from others, and it pushes out an object that the server knows.
+			c.cost += time.Duration(newcomer * float64(svc.work(false)-svc.work(true)))
+			if s != first && s != second {
+				c.cost += time.Duration(stranger * float64(svc.work(false)))
+			}
+		}
 		if r.Narrow && c.load < float64(s.Slots) {
 			return c, true
 		}
-		if !found || c.cost < best.cost {
+		if c.cost < best.cost {
 			best, found = c, true
 		}
 	}
 	return best, found
 }
 
-// preferred returns the server of a region that the object prefers, whether or not
-// it can take a request now.
-func (t *Table) preferred(svc *service, list []*server, r *Request, object uint64) *server {
+// preferred returns the two servers that an object prefers, whether or not
+// they can take a request now.
+func preferred(svc *service, list []*server, r *Request, object uint64) (first, second *server) {
 	if object == 0 {
-		return nil
+		return nil, nil
 	}
-	var best *server
-	var top uint64
+	var top, next uint64
 	for _, s := range list {
 		if s.Leaving || s.evacuated || !svc.runs(s, r) {
 			continue
 		}
-		if h := mix(object, s.hash); best == nil || h > top {
-			best, top = s, h
+		switch h := mix(object, s.hash); {
+		case first == nil || h > top:
+			second, next = first, top
+			first, top = s, h
+		case second == nil || h > next:
+			second, next = s, h
 		}
 	}
-	return best
+	return first, second
 }
 
 // runs tells whether the server's version may get the request.
