Decide on an early end of a try when its time comes

Cause: the first try of an idempotent request ended early so that another could follow. Ruled out: checking at the start of the try only; the order to stop came later. Change: a timer asks at the moment itself whether the VM stays and the budget has a token, and only then moves the exchange's deadline.

--- a/internal/fleet/edge/guard.go
+++ b/internal/fleet/edge/guard.go
@@ -89,6 +89,13 @@
 	r.policy.Request(s)
 }
 
+// Affords reports whether the service's budget has a token for a retry.
+func (r *retries) Affords(s sassafrastray.ServiceName) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy.Affords(s)
+}
+
 // Next decides what follows a try that ended.
 func (r *retries) Next(a retry.Attempt) retry.Decision {
 	r.mu.Lock()
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -48,6 +48,7 @@
 	// Retries decides on further tries. It is safe for concurrent use.
 	Retries interface {
 		Request(s sassafrastray.ServiceName)
+		Affords(s sassafrastray.ServiceName) bool
 		Next(a retry.Attempt) retry.Decision
 	}
 
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -44,8 +45,8 @@
 type attempt struct {
 	choice placement.Choice
 	start  time.Time
-	// final is set for the last try that time allows.
-	final bool
+	// cut is set if the try was ended early for another.
+	cut   atomic.Bool
 	resp  *fasthttp.Response
 	out   upstream.Outcome
 	body  []byte
@@ -165,9 +166,8 @@
 func (h *Handler) exchange(q *request, a *attempt) *refusal {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	end := h.tryUntil(q, a)
 	h.outbound(q, req, a)
-	call := upstream.Call{Address: a.choice.Server.Address, Proved: !q.route.Idempotent, Deadline: end, Progress: progress}
+	call := upstream.Call{Address: a.choice.Server.Address, Proved: !q.route.Idempotent, Deadline: q.deadline, Progress: progress}
 	switch {
 	case q.rest != nil:
 		call.Body, call.Size = io.MultiReader(bytes.NewReader(q.body), q.rest), q.ctx.Request.Header.ContentLength()
@@ -176,6 +176,7 @@
 	}
 	x := h.Pool.Start(call)
 	q.attach(x)
+	defer h.limit(q, a, x)()
 	a.out = x.Do(req, a.resp)
 	if a.out.Failure != upstream.None {
 		return h.failed(q, a)
@@ -188,20 +189,22 @@
 	return h.readAnswer(q, a)
 }
 
-// tryUntil returns when the try is given up. The first try of an idempotent
-// request leaves time for another.
-func (h *Handler) tryUntil(q *request, a *attempt) time.Time {
-	a.final = true
-	if !q.route.Idempotent || q.tries >= q.route.Attempts || !q.repeatable() {
-		return q.deadline
-	}
+// limit makes the try of an idempotent request end early enough for another,
+// if there can be one when that time comes. A VM that is stopping breaks
+// nothing off at which a server may be at work.
+func (h *Handler) limit(q *request, a *attempt, x *upstream.Exchange) (end func()) {
 	left := q.deadline.Sub(a.start)
 	d := max(time.Duration(firstPart*float64(left)), tooSlow*a.choice.Expected)
-	if d >= left {
-		return q.deadline
+	if !q.route.Idempotent || q.tries >= q.route.Attempts || !q.repeatable() || d >= left {
+		return func() {}
 	}
-	a.final = false
-	return a.start.Add(d)
+	t := time.AfterFunc(d, func() {
+		if !h.leaving.Load() && h.Retries.Affords(q.service) {
+			a.cut.Store(true)
+			x.Expire()
+		}
+	})
+	return func() { t.Stop() }
 }
 
 // outbound makes the request that a backend server sees.
@@ -241,7 +244,7 @@
 	case upstream.Dial:
 		r.reason = sassafrastray.ReasonBackend
 	case upstream.Silent:
-		if a.final {
+		if !a.cut.Load() {
 			r.reason = sassafrastray.ReasonDeadline
 		}
 	case upstream.Aborted, upstream.Body:
--- a/internal/traffic/retry/retry.go
+++ b/internal/traffic/retry/retry.go
@@ -93,6 +93,9 @@
 	p.budgets[s] = min(p.opt.Reserve, p.tokens(s)+p.opt.Ratio)
 }
 
+// Affords reports whether the service's budget has a token for a retry.
+func (p *Policy) Affords(s sassafrastray.ServiceName) bool { return p.tokens(s) >= 1 }
+
 // tokens returns the retries that the service's budget allows.
 func (p *Policy) tokens(s sassafrastray.ServiceName) float64 {
 	if n, ok := p.budgets[s]; ok {
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -78,8 +78,10 @@
 		mu      sync.Mutex
 		conn    *conn
 		aborted bool
-		// stopped is set when the rest of the request is not wanted.
+		// stopped is set when the rest of the request is not wanted, expired
+		// when the exchange has to end.
 		stopped bool
+		expired bool
 	}
 
 	// Outcome tells how far an exchange got.
@@ -99,6 +101,9 @@
 	}
 )
 
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // Start prepares an exchange. Nothing is sent before Do.
 func (p *Pool) Start(call Call) *Exchange { return &Exchange{pool: p, call: call} }
 
@@ -113,7 +118,27 @@
 	}
 }
 
-// attach makes the connection known to Abort.
+// Expire moves the exchange's deadline to now, from another goroutine.
+func (e *Exchange) Expire() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expired = true
+	if e.conn != nil {
+		e.conn.SetDeadline(past)
+	}
+}
+
+// deadline returns when the exchange has to end.
+func (e *Exchange) deadline() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.expired {
+		return past
+	}
+	return e.call.Deadline
+}
+
+// attach makes the connection known to Abort and Expire.
 func (e *Exchange) attach(c *conn) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -214,7 +239,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stopped = true
-	c.SetWriteDeadline(time.Unix(1, 0))
+	c.SetWriteDeadline(past)
 }
 
 func (e *Exchange) isStopped() bool {
@@ -229,7 +254,7 @@
 		body = &bodyReader{Reader: &requestBody{r: e.call.Body, c: c, wait: e.call.Progress, end: e.call.Deadline, now: e.pool.clock.Now}}
 		req.SetBodyStream(body, e.call.Size)
 	}
-	c.SetDeadline(e.call.Deadline)
+	c.SetDeadline(e.deadline())
 	err := req.Write(c.w)
 	if err == nil {
 		err = c.w.Flush()
@@ -285,7 +310,7 @@
 }
 
 func (e *Exchange) readOne(c *conn, req *fasthttp.Request, resp *fasthttp.Response) Outcome {
-	c.SetReadDeadline(e.call.Deadline)
+	c.SetReadDeadline(e.deadline())
 	resp.StreamBody = true
 	resp.SkipBody = req.Header.IsHead()
 	err := resp.ReadLimitBody(c.r, 0)
