Judge failures and late answers of a new version apart

The share rose to the whole before the version was called bad. A VM that restarted also served before it had read the rollouts. Ruled out: fewer samples or a longer first step; the failures were there early. Change: answers that say that the server failed are compared with the old version's failures only; traffic gets the configuration when all topics are read.

--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -142,6 +142,8 @@
 		inc      sassafrastray.Incarnation
 		sequence uint64
 		mirror   *mirror.Mirror
+		// snapshot is the configuration that traffic has yet to get.
+		snapshot *ingress.Snapshot
 		members  *member.Table
 		beats    map[sassafrastray.VMName]*neighbor.Beat
 		due      map[string]time.Time
--- a/internal/fleet/edge/feed.go
+++ b/internal/fleet/edge/feed.go
@@ -108,6 +108,7 @@
 	if c.Rollouts || c.Backends {
 		v.countServers()
 	}
+	v.admit(now)
 }
 
 // configure puts the newest configuration in force.
@@ -123,7 +124,18 @@
 	for i := range c.Fleet.Teams {
 		teams[c.Fleet.Teams[i].Name] = &c.Fleet.Teams[i]
 	}
-	v.handler.Update(&ingress.Snapshot{Config: c, Hosts: route.NewHosts(c), Keys: key.NewTable(c), Teams: teams})
+	v.snapshot = &ingress.Snapshot{Config: c, Hosts: route.NewHosts(c), Keys: key.NewTable(c), Teams: teams}
+	v.admit(now)
+}
+
+// admit gives traffic the configuration, once the VM knows the rollouts and
+// evacuations too: without them a request could go where it must not.
+func (v *VM) admit(now time.Time) {
+	if v.snapshot == nil || !v.mirror.Complete() {
+		return
+	}
+	v.handler.Update(v.snapshot)
+	v.snapshot = nil
 	v.name(now)
 }
 
--- a/internal/fleet/edge/guard.go
+++ b/internal/fleet/edge/guard.go
@@ -111,10 +111,10 @@
 }
 
 // Saw counts how a request ended on a version.
-func (r *rollouts) Saw(s sassafrastray.ServiceName, name sassafrastray.RouteName, v sassafrastray.VersionName, ok bool) {
+func (r *rollouts) Saw(s sassafrastray.ServiceName, name sassafrastray.RouteName, v sassafrastray.VersionName, e canary.End) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.desk.Saw(s, name, v, ok)
+	r.desk.Saw(s, name, v, e)
 }
 
 func (r *rollouts) do(f func(d *canary.Desk, now time.Time)) {
--- a/internal/rollout/canary/canary.go
+++ b/internal/rollout/canary/canary.go
@@ -39,24 +39,41 @@
 	// begin is taken back.
 	late = 0.9
 
-	// fewest is the least number of failures that make a version bad, and
-	// margin and factor how far its rate must lie above the old version's.
-	fewest = 4
-	margin = 0.10
-	factor = 2.5
+	// fewestFailed is the least number of failures that make a version bad,
+	// and failedMargin and failedFactor how far their rate must lie above the
+	// old version's. The others are the same for answers that are late.
+	fewestFailed = 3
+	failedMargin = 0.06
+	failedFactor = 2.5
+	fewestLate   = 4
+	lateMargin   = 0.25
+	lateFactor   = 2
 
 	// enough is the least number of requests that a version must have
 	// answered before its share rises, while there is time.
 	enough = 8
 )
 
+// Ends of requests.
+const (
+	OK End = iota
+	Failed
+	Late
+)
+
 type (
 	// Count is how requests of one route ended on one version.
 	Count struct {
-		OK  int `json:"ok,omitempty"`
-		Bad int `json:"bad,omitempty"`
+		OK int `json:"ok,omitempty"`
+		// Failed answers say that the backend server failed.
+		Failed int `json:"failed,omitempty"`
+		// Late answers came much later than usual, not whole or not at all.
+		Late int `json:"late,omitempty"`
 	}
 
+	// End is how a request ended on a version.
+	End int
+
 	// Row is what one VM saw of one route during a rollout.
 	Row struct {
 		Service sassafrastray.ServiceName `json:"service"`
@@ -169,7 +186,7 @@
 }
 
 // Saw counts how a request ended on a version.
-func (d *Desk) Saw(s sassafrastray.ServiceName, r sassafrastray.RouteName, v sassafrastray.VersionName, ok bool) {
+func (d *Desk) Saw(s sassafrastray.ServiceName, r sassafrastray.RouteName, v sassafrastray.VersionName, e End) {
 	m := d.moves[s]
 	if m == nil || m.order.State != sassafrastray.RolloutRunning {
 		return
@@ -183,10 +200,13 @@
 	if v == m.order.To {
 		c = &row.New
 	}
-	if ok {
+	switch e {
+	case OK:
 		c.OK++
-	} else {
-		c.Bad++
+	case Failed:
+		c.Failed++
+	case Late:
+		c.Late++
 	}
 }
 
@@ -290,7 +310,7 @@
 	return old, fresh
 }
 
-func (c *Count) add(o Count) { c.OK, c.Bad = c.OK+o.OK, c.Bad+o.Bad }
+func (c *Count) add(o Count) { c.OK, c.Failed, c.Late = c.OK+o.OK, c.Failed+o.Failed, c.Late+o.Late }
 
 // rows adds up the rows of all VMs by route.
 func (m *move) rows() map[sassafrastray.RouteName]*Row {
@@ -318,23 +338,29 @@
 // judge returns why the new version is bad, or "".
 func (m *move) judge() string {
 	for _, r := range m.rows() {
-		if worse(r.Old, r.New) {
-			return "fails more often on route " + string(r.Route)
+		if why := worse(r.Old, r.New); why != "" {
+			return why + " on route " + string(r.Route)
 		}
 	}
-	if old, fresh := m.total(); worse(old, fresh) {
+	return worse(m.total())
+}
+
+// worse returns how the new version is worse than the old, or "".
+func worse(old, fresh Count) string {
+	switch {
+	case fresh.Failed >= fewestFailed && fresh.rate(fresh.Failed) > failedMargin+failedFactor*old.rate(old.Failed):
 		return "fails more often"
+	case fresh.Late >= fewestLate && fresh.rate(fresh.Late) > lateMargin+lateFactor*old.rate(old.Late):
+		return "is late more often"
 	}
 	return ""
 }
 
-func worse(old, fresh Count) bool {
-	return fresh.Bad >= fewest && fresh.rate() > margin+factor*old.rate()
-}
-
-func (c Count) rate() float64 {
-	if c.OK+c.Bad == 0 {
+// rate returns which part n is of all requests.
+func (c Count) rate(n int) float64 {
+	all := c.OK + c.Failed + c.Late
+	if all == 0 {
 		return 0
 	}
-	return float64(c.Bad) / float64(c.OK+c.Bad)
+	return float64(n) / float64(all)
 }
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"sassafrastray"
 	"sassafrastray/internal/limit/allotment"
 	"sassafrastray/internal/operator/key"
+	"sassafrastray/internal/rollout/canary"
 	"sassafrastray/internal/traffic/entry"
 	"sassafrastray/internal/traffic/hangup"
 	"sassafrastray/internal/traffic/placement"
@@ -60,7 +61,7 @@
 		// use few backend servers.
 		Draw(s sassafrastray.ServiceName) (only, except sassafrastray.VersionName, narrow bool)
 		// Saw counts how a request ended on a version.
-		Saw(s sassafrastray.ServiceName, r sassafrastray.RouteName, v sassafrastray.VersionName, ok bool)
+		Saw(s sassafrastray.ServiceName, r sassafrastray.RouteName, v sassafrastray.VersionName, e canary.End)
 	}
 
 	// Splitter divides a route's requests among its services. It is safe for
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/rollout/canary"
 	"sassafrastray/internal/traffic/placement"
 	"sassafrastray/internal/traffic/retry"
 	"sassafrastray/internal/traffic/upstream"
@@ -46,10 +47,10 @@
 	choice placement.Choice
 	start  time.Time
 	// cut is set if the try was ended early for another.
-	cut   atomic.Bool
-	resp  *fasthttp.Response
-	out   upstream.Outcome
-	body  []byte
+	cut  atomic.Bool
+	resp *fasthttp.Response
+	out  upstream.Outcome
+	body []byte
 	// stream is set for an answer that is too large to be held.
 	stream io.ReadCloser
 }
@@ -303,18 +304,20 @@
 // judge tells placement and the rollouts how the try ended.
 func (h *Handler) judge(q *request, a *attempt, r *refusal) {
 	took := h.Clock.Now().Sub(a.start)
-	end, counts, good := placement.OK, true, true
 	var load *sassafrastray.BackendLoad
 	if a.resp != nil {
 		if l, ok := h.Dialect.ParseLoad(a.resp.Header.Peek(h.Dialect.Load)); ok {
 			load = &l
 		}
-		if r == nil && a.resp.StatusCode() >= fasthttp.StatusInternalServerError {
-			end, good = placement.Failed, false
-		}
 	}
+	end, seen, counts := placement.OK, canary.OK, true
 	switch {
+	case r == nil && a.resp.StatusCode() >= fasthttp.StatusInternalServerError:
+		end, seen = placement.Failed, canary.Failed
 	case r == nil:
+		if a.choice.Usual > 0 && took > slowFactor*a.choice.Usual {
+			seen = canary.Late
+		}
 	case r.reason == sassafrastray.ReasonShed:
 		end, counts = placement.Shed, false
 		if a.resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
@@ -326,14 +329,13 @@
 	case a.out.Failure == upstream.Dial:
 		end, counts = placement.Refused, false
 	case a.out.Failure == upstream.Silent:
-		end, good = placement.Timeout, false
+		end, seen = placement.Timeout, canary.Late
 	default:
-		end, good = placement.Failed, false
+		end, seen = placement.Failed, canary.Late
 	}
 	h.Placement.Done(a.choice, end, took, load)
 	if counts {
-		good = good && (a.choice.Usual == 0 || took <= slowFactor*a.choice.Usual)
-		h.Rollouts.Saw(q.service, q.route.Name, a.choice.Server.Version, good)
+		h.Rollouts.Saw(q.service, q.route.Name, a.choice.Server.Version, seen)
 	}
 }
 
