--- /dev/null
+++ b/internal/fleet/mirror/mirror_test.go
@@ -0,0 +1,163 @@
+package mirror
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"pgregory.net/rapid"
+
+	"sassafrastray"
+)
+
+var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+// TestMirror runs the scripts of the data file against a copy.
+func TestMirror(t *testing.T) {
+	a, err := txtar.ParseFile("testdata/mirror.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range a.Files {
+		t.Run(f.Name, func(t *testing.T) {
+			s := &script{m: New(), now: start}
+			for n, line := range strings.Split(strings.TrimSpace(string(f.Data)), "\n") {
+				s.line(t, n+1, strings.Fields(line))
+			}
+		})
+	}
+}
+
+type script struct {
+	m   *Mirror
+	now time.Time
+}
+
+// entry reads NAME:BORN:SEQUENCE, or NAME:gone, or NAME:bad.
+func entry(t *testing.T, revision int64, word string) sassafrastray.Entry {
+	parts := strings.Split(word, ":")
+	e := sassafrastray.Entry{Name: parts[0], Revision: revision}
+	switch {
+	case parts[1] == "gone":
+		e.Gone = true
+	case parts[1] == "bad":
+		e.Fault = "can't be read"
+	default:
+		e.Backend = &sassafrastray.BackendServer{Name: sassafrastray.BackendName(parts[0])}
+		e.Backend.Born = number(t, parts[1])
+		e.Backend.Sequence = number(t, parts[2])
+	}
+	return e
+}
+
+func number(t *testing.T, s string) int64 {
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func (s *script) line(t *testing.T, n int, words []string) {
+	t.Helper()
+	switch words[0] {
+	case "whole", "part", "peer":
+		b := sassafrastray.Batch{Topic: sassafrastray.TopicBackends, Revision: number(t, words[1]), Whole: words[0] != "part"}
+		for _, w := range words[2:] {
+			b.Entries = append(b.Entries, entry(t, b.Revision, w))
+		}
+		if words[0] == "peer" {
+			s.m.Adopt(b, s.now)
+		} else {
+			s.m.Apply(b, s.now)
+		}
+	case "config":
+		number := number(t, words[1])
+		s.m.Apply(sassafrastray.Batch{Topic: sassafrastray.TopicConfig, Revision: number, Entries: []sassafrastray.Entry{
+			{Name: "main", Revision: number, Config: &sassafrastray.Config{Number: number}},
+		}}, s.now)
+	case "config-bad":
+		s.m.Apply(sassafrastray.Batch{Topic: sassafrastray.TopicConfig, Revision: 99, Entries: []sassafrastray.Entry{
+			{Name: "main", Revision: 99, Fault: "can't be read"},
+		}}, s.now)
+	case "fail":
+		s.m.Failed(sassafrastray.TopicBackends, s.now)
+	case "wait":
+		d, err := time.ParseDuration(words[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.now = s.now.Add(d)
+		s.m.Tick(s.now)
+	case "have":
+		var got []string
+		for _, b := range s.m.Backends() {
+			got = append(got, fmt.Sprintf("%s:%d:%d", b.Name, b.Born, b.Sequence))
+		}
+		if g, w := strings.Join(got, " "), strings.Join(words[1:], " "); g != w {
+			t.Errorf("line %d: have %q, want %q", n, g, w)
+		}
+	case "number":
+		if c := s.m.Config(); c == nil || c.Number != number(t, words[1]) {
+			t.Errorf("line %d: configuration %+v, want %s", n, c, words[1])
+		}
+	default:
+		t.Fatalf("line %d: %v", n, words)
+	}
+}
+
+// TestNeverBack applies batches in any order and checks that neither the
+// configuration nor a backend server's run goes back.
+func TestNeverBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, now := New(), start
+		config, born := int64(0), map[sassafrastray.BackendName]int64{}
+		for range rapid.IntRange(1, 60).Draw(t, "batches") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			revision := rapid.Int64Range(1, 50).Draw(t, "revision")
+			switch rapid.SampledFrom([]string{"config", "backend", "whole", "fail", "tick"}).Draw(t, "kind") {
+			case "config":
+				m.Apply(sassafrastray.Batch{Topic: sassafrastray.TopicConfig, Revision: revision, Entries: []sassafrastray.Entry{
+					{Name: "main", Revision: revision, Config: &sassafrastray.Config{Number: rapid.Int64Range(1, 20).Draw(t, "number")}},
+				}}, now)
+			case "backend", "whole":
+				name := sassafrastray.BackendName(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"))
+				b := sassafrastray.Batch{Topic: sassafrastray.TopicBackends, Revision: revision, Whole: rapid.Bool().Draw(t, "whole")}
+				b.Entries = []sassafrastray.Entry{{Name: string(name), Revision: revision, Backend: &sassafrastray.BackendServer{
+					Name: name, Born: rapid.Int64Range(1, 5).Draw(t, "born"), Sequence: rapid.Int64Range(1, 5).Draw(t, "seq"),
+				}}}
+				if rapid.Bool().Draw(t, "peer") {
+					m.Adopt(b, now)
+				} else {
+					m.Apply(b, now)
+				}
+			case "fail":
+				m.Failed(sassafrastray.TopicBackends, now)
+			case "tick":
+				m.Tick(now)
+			}
+			if c := m.Config(); c != nil {
+				if c.Number < config {
+					t.Fatalf("configuration went from %d to %d", config, c.Number)
+				}
+				config = c.Number
+			}
+			present := map[sassafrastray.BackendName]bool{}
+			for _, b := range m.Backends() {
+				present[b.Name] = true
+				if b.Born < born[b.Name] {
+					t.Fatalf("%s went from run %d to %d", b.Name, born[b.Name], b.Born)
+				}
+				born[b.Name] = b.Born
+			}
+			for name := range born {
+				if !present[name] {
+					delete(born, name)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/rollout/canary/canary_test.go
@@ -0,0 +1,267 @@
+package canary
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"pgregory.net/rapid"
+
+	"sassafrastray"
+)
+
+const exposure = 0.1
+
+var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+// rehearsal is a fleet that moves one service while callers ask.
+type rehearsal struct {
+	rng      *rand.Rand
+	desks    []*Desk
+	down     map[int]bool
+	entry    sassafrastray.Entry
+	store    bool
+	now      time.Time
+	rate     float64
+	oldFails float64
+	newFails float64
+	oldLate  float64
+	newLate  float64
+	// from is when the new version starts to fail, and load the share from
+	// which on it does.
+	from     time.Duration
+	load     int
+	route    string
+	revision int64
+
+	all, exposed, bad int
+	badAfter          int
+	reverted          time.Duration
+	done              time.Duration
+}
+
+func newRehearsal(vms int, rate float64, within time.Duration, seed uint64) *rehearsal {
+	r := &rehearsal{
+		rng: rand.New(rand.NewPCG(seed, 2)), now: start, rate: rate, store: true, down: map[int]bool{}, revision: 10,
+		entry: sassafrastray.Entry{Name: "s", Revision: 10, Rollout: &sassafrastray.Rollout{Service: "s", To: "v2", Within: within}},
+	}
+	for range vms {
+		r.desks = append(r.desks, New(exposure))
+	}
+	r.watch()
+	return r
+}
+
+// watch tells all VMs what the store holds.
+func (r *rehearsal) watch() {
+	for i, d := range r.desks {
+		if r.down[i] {
+			continue
+		}
+		entry := r.entry
+		rollout := *r.entry.Rollout
+		entry.Rollout = &rollout
+		d.Update(map[sassafrastray.ServiceName]sassafrastray.Entry{"s": entry}, r.now)
+		d.Servers(func(sassafrastray.ServiceName, sassafrastray.VersionName) int { return 4 })
+	}
+}
+
+// run lets callers ask for d.
+func (r *rehearsal) run(d time.Duration) {
+	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(10 * time.Millisecond) {
+		since := r.now.Sub(start)
+		if r.rng.Float64() < r.rate/100 {
+			r.ask(since)
+		}
+		if since%time.Second == 0 {
+			r.gossip()
+		}
+		if since%(200*time.Millisecond) == 0 {
+			r.tick(since)
+		}
+	}
+}
+
+func (r *rehearsal) ask(since time.Duration) {
+	i := r.rng.IntN(len(r.desks))
+	if r.down[i] {
+		return
+	}
+	only, except, _ := r.desks[i].Draw("s")
+	if only != "" && except != "" {
+		panic("a request must go to a version and must not")
+	}
+	route := sassafrastray.RouteName(fmt.Sprint("r", r.rng.IntN(2)))
+	version, fails, late := sassafrastray.VersionName("v1"), r.oldFails, r.oldLate
+	r.all++
+	if only == "v2" {
+		version, fails, late = "v2", 0.002, r.oldLate
+		if since >= r.from && r.entry.Rollout.Share >= r.load && (r.route == "" || r.route == string(route)) {
+			fails, late = max(fails, r.newFails), max(late, r.newLate)
+		}
+		r.exposed++
+		if r.reverted > 0 && since > r.reverted+500*time.Millisecond {
+			r.badAfter++
+		}
+	}
+	end := OK
+	switch x := r.rng.Float64(); {
+	case x < fails:
+		end = Failed
+	case x < fails+late:
+		end = Late
+	}
+	if version == "v2" && end != OK {
+		r.bad++
+	}
+	r.desks[i].Saw("s", route, version, end)
+}
+
+func (r *rehearsal) gossip() {
+	for i, d := range r.desks {
+		for j, to := range r.desks {
+			if i != j && !r.down[i] && !r.down[j] {
+				to.Heard(sassafrastray.VMName(strconv.Itoa(i)), d.Evidence())
+			}
+		}
+	}
+}
+
+// tick lets all VMs judge, and the first that is up lead.
+func (r *rehearsal) tick(since time.Duration) {
+	led := false
+	for i, d := range r.desks {
+		if r.down[i] {
+			continue
+		}
+		steps := d.Tick(r.now)
+		if led || !r.store {
+			continue
+		}
+		led = true
+		for _, s := range steps {
+			r.write(s, since)
+		}
+	}
+}
+
+// write is the store's conditional update.
+func (r *rehearsal) write(s Step, since time.Duration) {
+	if s.Revision != r.entry.Revision {
+		return
+	}
+	r.revision++
+	rollout := s.Rollout
+	r.entry.Rollout, r.entry.Revision = &rollout, r.revision
+	switch {
+	case rollout.State == sassafrastray.RolloutReverted && r.reverted == 0:
+		r.reverted = since
+	case rollout.State == sassafrastray.RolloutDone && r.done == 0:
+		r.done = since
+	}
+	r.watch()
+}
+
+// TestRollouts runs the scripts of the data file: how both versions behave, what
+// happens to the fleet, and how the rollout has to end.
+func TestRollouts(t *testing.T) {
+	a, err := txtar.ParseFile("testdata/rollouts.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range a.Files {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprint(f.Name, "/", seed), func(t *testing.T) { perform(t, string(f.Data), seed) })
+		}
+	}
+}
+
+func perform(t *testing.T, data string, seed uint64) {
+	const within = 15 * time.Second
+	r := newRehearsal(8, 70, within, seed)
+	want := ""
+	for line := range strings.SplitSeq(strings.TrimSpace(data), "\n") {
+		verb, arg, _ := strings.Cut(line, " ")
+		number, _ := strconv.ParseFloat(arg, 64)
+		switch verb {
+		case "rate":
+			r.rate = number
+		case "old-fails":
+			r.oldFails = number
+		case "new-fails":
+			r.newFails = number
+		case "old-late":
+			r.oldLate = number
+		case "new-late":
+			r.newLate = number
+		case "from":
+			r.from = time.Duration(number * float64(time.Second))
+		case "load":
+			r.load = int(number)
+		case "route":
+			r.route = arg
+		case "run":
+			r.run(time.Duration(number * float64(time.Second)))
+		case "down":
+			r.down[int(number)] = true
+		case "store":
+			r.store = arg == "up"
+		case "end":
+			want = arg
+		default:
+			t.Fatalf("line %q", line)
+		}
+	}
+	state := r.entry.Rollout.State
+	t.Logf("%s, reverted %v, done %v, exposed %d of %d, bad answers %d", state, r.reverted, r.done, r.exposed, r.all, r.bad)
+	if string(state) != want {
+		t.Fatalf("ended %s, want %s", state, want)
+	}
+	if want == "done" && r.done > within {
+		t.Errorf("done after %v, deadline %v", r.done, within)
+	}
+	if want == "reverted" {
+		if bound := exposure*float64(r.all) + 50; float64(r.exposed) > bound {
+			t.Errorf("%d requests exposed, bound %.0f", r.exposed, bound)
+		}
+		if r.badAfter > 0 {
+			t.Errorf("%d requests to the bad version after it was taken back", r.badAfter)
+		}
+	}
+}
+
+// TestEndsOnce checks under random faults that a rollout which has ended stays
+// ended, and that the share never rises on evidence that calls the version bad.
+func TestEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRehearsal(4, 60, 12*time.Second, rapid.Uint64().Draw(t, "seed"))
+		r.newFails = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "fails")
+		ended := sassafrastray.RolloutState("")
+		for range 12 {
+			switch rapid.SampledFrom([]string{"none", "down", "up", "store"}).Draw(t, "event") {
+			case "down":
+				r.down[rapid.IntRange(0, 3).Draw(t, "vm")] = true
+			case "up":
+				i := rapid.IntRange(0, 3).Draw(t, "vm")
+				if r.down[i] {
+					r.desks[i], r.down[i] = New(exposure), false
+					r.watch()
+				}
+			case "store":
+				r.store = !r.store
+			}
+			r.run(time.Second)
+			state := r.entry.Rollout.State
+			if ended != "" && state != ended {
+				t.Fatalf("went from %s to %s", ended, state)
+			}
+			if state == sassafrastray.RolloutDone || state == sassafrastray.RolloutReverted {
+				ended = state
+			}
+		}
+	})
+}
--- a/internal/traffic/split/split.go
+++ b/internal/traffic/split/split.go
@@ -1,6 +1,6 @@
 // Package split divides the requests of a route among its services by weight,
-// request by request: after any number of requests each service has had its
-// part of them to within one.
+// request by request: after any number of requests each of two services has had
+// its part of them to within one, and each of more to within two.
 package split
 
 import (
