Run the adapter end to end through separate processes, and notice a silent store

Cause: TestPlatform/faults showed VMs that never heard of a new configuration after the store had been silent for 3 s: a watch that is taken and not answered hangs for its whole wait of 25 s, while the kernel's probes find nothing wrong. Ruled out: the copies between VMs (all VMs hung the same way); a fault of the stand-in, which also turned away VMs that it should not, was mended with it. Change: the watch of the configuration waits 3 s only, a failed call ends the other topics' watches, and the first watch after a failure waits 0.2 s.

--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -16,7 +16,9 @@
 	"sassafrastray"
 	"sassafrastray/internal/operator/config"
 	"sassafrastray/internal/standin/backend"
+	"sassafrastray/internal/standin/registry"
 	"sassafrastray/internal/standin/server"
+	"sassafrastray/platform"
 )
 
 type backendCmd struct {
@@ -33,6 +35,8 @@
 	Time    time.Duration  `help:"Median time of work on a request." default:"10ms"`
 	Spread  float64        `help:"Standard deviation of the logarithm of that time." default:"0.3"`
 	Count   int            `help:"Number of such servers, with ports that count up."`
+
+	Registry netip.AddrPort `help:"Address of a metadata store at which the servers register themselves; they speak the platform's dialect then."`
 }
 
 func (c *backendCmd) Run(log *slog.Logger) error {
@@ -46,6 +50,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	if c.Registry.IsValid() {
+		f.Speak(platform.Dialect())
+		go registry.NewAnnouncer(c.Registry).Run(ctx, f.Announced)
+	}
 	return f.Serve(ctx, c.Control)
 }
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,10 +13,11 @@
 type (
 	// cli is the command line; each subcommand is in a file of its own.
 	cli struct {
-		Store   storeCmd   `cmd:"" help:"Serve an object store and a list of VMs."`
-		Backend backendCmd `cmd:"" help:"Serve backend servers."`
-		Load    loadCmd    `cmd:"" help:"Send requests as callers do, and report what came of them."`
-		Report  reportCmd  `cmd:"" help:"Show the spread of several runs of a case."`
+		Store    storeCmd    `cmd:"" help:"Serve an object store and a list of VMs."`
+		Backend  backendCmd  `cmd:"" help:"Serve backend servers."`
+		Registry registryCmd `cmd:"" help:"Serve the metadata store of the platform."`
+		Load     loadCmd     `cmd:"" help:"Send requests as callers do, and report what came of them."`
+		Report   reportCmd   `cmd:"" help:"Show the spread of several runs of a case."`
 	}
 
 	// streams are the standard streams, so that tests can replace them.
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -135,11 +135,11 @@
 		ctx      context.Context
 		stop     context.CancelFunc
 		loops    sync.WaitGroup
-		// named is what the directory names, lost whether the VM is out of
-		// the look-ups.
-		named   atomic.Pointer[naming]
-		leaving atomic.Bool
-		ready   atomic.Bool
+		// waits has the function that ends the watch of each topic.
+		waits sync.Map
+		// named is what the directory names.
+		named atomic.Pointer[naming]
+		ready atomic.Bool
 
 		// The control goroutine owns what follows.
 		self     sassafrastray.VM
--- a/internal/fleet/edge/feed.go
+++ b/internal/fleet/edge/feed.go
@@ -18,9 +18,16 @@
 )
 
 const (
-	// followWait is how long one watch of the store waits. Each is a priced
-	// call, and the kernel's probes find a connection that went silent.
+	// followWait is how long one watch of the store waits; each is a priced
+	// call. The watch of the configuration waits for configWait only, and
+	// shows by that whether the store still answers: a store that went silent
+	// may leave a watch without an answer for good.
 	followWait = 25 * time.Second
+	configWait = 3 * time.Second
+
+	// probeWait is how long the first watch after a failed call waits, so
+	// that a store which stays silent does not hold it for long.
+	probeWait = 200 * time.Millisecond
 
 	// firstPause and lastPause bound the pause between two calls to a store
 	// that does not answer; it doubles in between.
@@ -38,23 +45,38 @@
 	defer v.loops.Done()
 	var after int64
 	pause := firstPause
-	for read := false; v.ctx.Err() == nil; {
+	for read, failed := false, false; v.ctx.Err() == nil; {
 		var b sassafrastray.Batch
 		var err error
+		interrupted := false
 		if read {
-			b, err = v.feed.Follow(v.ctx, t, after, followWait)
+			wait := followWait
+			switch {
+			case failed:
+				wait = probeWait
+			case t == sassafrastray.TopicConfig:
+				wait = configWait
+			}
+			ctx, end := v.interruptible(t)
+			b, err = v.feed.Follow(ctx, t, after, wait)
+			interrupted = ctx.Err() != nil
+			end()
 		} else {
 			b, err = v.feed.Read(v.ctx, t, false)
 		}
 		v.metrics.store.WithLabelValues(string(t), outcome(err)).Inc()
 		switch {
 		case err == nil:
-			read, after, pause = true, b.Revision, firstPause
+			read, failed, after, pause = true, false, b.Revision, firstPause
 			v.post(func(now time.Time) { v.applied(b, now) })
 		case errors.Is(err, sassafrastray.ErrCompacted):
 			v.log.Warn("the store's history is gone; reading the topic anew", "topic", t, "after", after)
 			read = false
+		case interrupted:
+			// Another topic's call failed; this one may wait in vain.
+			failed = true
 		default:
+			failed = true
 			v.post(func(now time.Time) { v.storeFailed(t, err, now) })
 			v.sleep(pause/2 + rand.N(pause))
 			pause = min(lastPause, 2*pause)
@@ -72,9 +94,25 @@
 	}
 }
 
+// interruptible returns the context of a watch that ends when the store fails
+// another call.
+func (v *VM) interruptible(t sassafrastray.Topic) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(v.ctx)
+	v.waits.Store(t, cancel)
+	return ctx, cancel
+}
+
+// storeFailed notes that a call failed, and ends the watches that wait on
+// connections which may have gone the same way.
 func (v *VM) storeFailed(t sassafrastray.Topic, err error, now time.Time) {
 	if v.mirror.Failing(now) == 0 {
 		v.log.Warn("the store is not reached", "topic", t, "error", err.Error())
+		v.waits.Range(func(topic, cancel any) bool {
+			if topic != t {
+				cancel.(context.CancelFunc)()
+			}
+			return true
+		})
 	}
 	v.mirror.Failed(t, now)
 }
--- a/internal/standin/backend/body.go
+++ b/internal/standin/backend/body.go
@@ -101,7 +101,7 @@
 	a := answer{ID: e.ID, Order: e.Order, Server: e.Server, Version: e.Version, Path: e.Path, body: b}
 	if x.work.Cross {
 		a = x.host.swap(a)
-		ctx.Response.Header.Set(headerID, a.ID)
+		ctx.Response.Header.Set(x.host.fleet.dialect.ID, a.ID)
 		ctx.Response.Header.Set(headerOrder, a.Order)
 	}
 	text, err := json.Marshal(a)
@@ -119,12 +119,12 @@
 }
 
 // entry describes a request.
-func entry(ctx *fasthttp.RequestCtx) ledger.Entry {
+func (f *Fleet) entry(ctx *fasthttp.RequestCtx) ledger.Entry {
 	h := &ctx.Request.Header
 	return ledger.Entry{
-		ID:     string(h.Peek(headerID)),
+		ID:     string(h.Peek(f.dialect.ID)),
 		Order:  string(h.Peek(headerOrder)),
-		Team:   sassafrastray.TeamName(h.Peek(headerTeam)),
+		Team:   sassafrastray.TeamName(h.Peek(f.dialect.Team)),
 		Method: string(ctx.Method()),
 		Path:   string(ctx.Path()),
 		Keys:   hasKey(h),
--- a/internal/standin/backend/fleet.go
+++ b/internal/standin/backend/fleet.go
@@ -25,8 +25,9 @@
 type (
 	// Fleet is the backend servers of one process and what they executed.
 	Fleet struct {
-		clock sassafrastray.Clock
-		log   *slog.Logger
+		clock   sassafrastray.Clock
+		log     *slog.Logger
+		dialect sassafrastray.Dialect
 
 		// mu guards the ledger and the state of all servers.
 		mu     sync.Mutex
@@ -47,7 +48,7 @@
 // New returns a fleet that listens at the servers' addresses. Each server has
 // random numbers of its own, drawn from r.
 func New(clock sassafrastray.Clock, log *slog.Logger, r *rand.Rand, servers []server.Settings) (*Fleet, error) {
-	f := &Fleet{clock: clock, log: log, ledger: ledger.New()}
+	f := &Fleet{clock: clock, log: log, dialect: Product, ledger: ledger.New()}
 	for _, s := range servers {
 		g, err := gate.New(s.Listen)
 		if err != nil {
@@ -61,6 +62,9 @@
 	return f, nil
 }
 
+// Speak makes the servers use the dialect. It is called before Serve.
+func (f *Fleet) Speak(d sassafrastray.Dialect) { f.dialect = d }
+
 // Serve answers requests, and control calls at control, until the context
 // ends.
 func (f *Fleet) Serve(ctx context.Context, control netip.AddrPort) error {
--- a/internal/standin/backend/handle.go
+++ b/internal/standin/backend/handle.go
@@ -4,10 +4,12 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"sassafrastray"
 	"sassafrastray/internal/standin/gate"
 	"sassafrastray/internal/standin/ledger"
 	"sassafrastray/internal/standin/server"
@@ -15,15 +17,15 @@
 
 // Names of headers.
 const (
-	headerID      = "Request-Id"
-	headerOrder   = "Order-Id"
-	headerTeam    = "Team"
-	headerTimeout = "Request-Timeout"
-	headerShed    = "Shed"
-	headerDrain   = "Drain"
-	headerLoad    = "Load"
+	headerOrder = "Order-Id"
+	headerDrain = "Drain"
 )
 
+// Product is the dialect of the product's own interface.
+var Product = sassafrastray.Dialect{
+	ID: "Request-Id", Deadline: "Request-Timeout", Team: "Team", NotRun: "Shed", Load: "Load",
+}
+
 // maxDrain bounds the part of a body in bytes that a server reads after it has
 // shed the request.
 const maxDrain = 8 << 20
@@ -46,13 +48,16 @@
 	switch {
 	case mute:
 		ignore(ctx)
+	case h.misdirected(ctx):
+		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
+		h.mark(ctx)
 	case string(ctx.Path()) == "/health":
 		writeJSON(ctx, health)
 		h.mark(ctx)
 	default:
 		x := h.admit(ctx, now)
 		if x == nil {
-			ctx.Response.Header.Set(headerShed, "1")
+			ctx.Response.Header.Set(h.fleet.dialect.NotRun, "1")
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			h.mark(ctx)
 			drain(ctx)
@@ -65,7 +70,7 @@
 // admit takes a slot and records the execution, or returns nil if the server
 // sheds the request.
 func (h *host) admit(ctx *fasthttp.RequestCtx, now time.Time) *execution {
-	e := entry(ctx)
+	e := h.fleet.entry(ctx)
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	work, ok := h.state.Admit(e.Path, now)
@@ -80,8 +85,9 @@
 func (h *host) mark(ctx *fasthttp.RequestCtx) {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
-	if id := ctx.Request.Header.Peek(headerID); len(id) > 0 {
-		ctx.Response.Header.SetBytesV(headerID, id)
+	d := &h.fleet.dialect
+	if id := ctx.Request.Header.Peek(d.ID); len(id) > 0 {
+		ctx.Response.Header.SetBytesV(d.ID, id)
 	}
 	if id := ctx.Request.Header.Peek(headerOrder); len(id) > 0 {
 		ctx.Response.Header.SetBytesV(headerOrder, id)
@@ -90,8 +96,27 @@
 		ctx.Response.Header.Set(headerDrain, "1")
 	}
 	if l := h.state.Load(h.fleet.clock.Now()); l != "" {
-		ctx.Response.Header.Set(headerLoad, l)
+		ctx.Response.Header.Set(d.Load, h.fleet.load(l))
+	}
+}
+
+// misdirected tells whether the request is meant for another server.
+func (h *host) misdirected(ctx *fasthttp.RequestCtx) bool {
+	name := h.fleet.dialect.Expect
+	if name == "" {
+		return false
+	}
+	expected := ctx.Request.Header.Peek(name)
+	return len(expected) > 0 && string(expected) != string(h.state.Name)
+}
+
+// load writes a report of the form used/slots as the dialect has it.
+func (f *Fleet) load(report string) string {
+	used, slots, _ := strings.Cut(report, "/")
+	if f.dialect.ParseLoad == nil {
+		return report
 	}
+	return used + ",0," + slots
 }
 
 // run reads the body, works, and answers. The slot is given back when the
@@ -105,7 +130,7 @@
 		return
 	}
 	takes := x.work.Takes - x.host.fleet.clock.Now().Sub(started)
-	limit, bounded := timeout(ctx)
+	limit, bounded := x.host.fleet.timeout(ctx)
 	expired := bounded && limit < x.work.Takes
 	if expired {
 		takes = limit - x.host.fleet.clock.Now().Sub(started)
@@ -214,8 +239,8 @@
 }
 
 // timeout reads how long the client waits.
-func timeout(ctx *fasthttp.RequestCtx) (time.Duration, bool) {
-	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(headerTimeout)), 10, 64)
+func (f *Fleet) timeout(ctx *fasthttp.RequestCtx) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(f.dialect.Deadline)), 10, 64)
 	return time.Duration(ms) * time.Millisecond, err == nil
 }
 
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -31,6 +31,8 @@
 		Version sassafrastray.VersionName `json:"version" yaml:"version"`
 		Listen  netip.AddrPort            `json:"listen" yaml:"listen"`
 		Slots   int                       `json:"slots" yaml:"slots"`
+		// Domain is the failure domain of a server that registers itself.
+		Domain sassafrastray.DomainName `json:"domain,omitempty" yaml:"domain"`
 		// Time is the median time of work on a request, and Spread the
 		// standard deviation of its logarithm.
 		Time   time.Duration `json:"time" yaml:"time"`
@@ -160,6 +162,9 @@
 	return fmt.Sprintf("%d/%d", s.seen.used, s.Slots)
 }
 
+// Started returns when the present run of the server began.
+func (s *Server) Started() time.Time { return s.started }
+
 // Health returns the health report.
 func (s *Server) Health(now time.Time) Health {
 	h := Health{OK, s.Slots, s.used}
