Watch for a silent store by one VM, and tell the others

Ruled out: longer waits for all, which leave a silent store unnoticed. Change: only the VM that leads waits 3 s; the others doubt their watches when a VM reports that the store is away or knows of a later change. A delay is for teams within their part only.

--- a/internal/fleet/edge/beat.go
+++ b/internal/fleet/edge/beat.go
@@ -14,6 +14,10 @@
 	"sassafrastray/internal/traffic/placement"
 )
 
+// doubtEvery is the least time between two checks of the own watches because
+// another VM does not reach the store.
+const doubtEvery = 2 * time.Second
+
 // gone is how long a VM has to be silent before its registration is removed,
 // and its part of the quotas divided among the others.
 const gone = 2 * time.Minute
@@ -66,7 +70,7 @@
 	v.sequence++
 	b := &neighbor.Beat{
 		VM: v.self, Inc: v.inc, Sequence: v.sequence, Ready: v.ready.Load(),
-		Revisions: v.mirror.Revisions(), Store: v.mirror.Failing(now) == 0,
+		Latest: v.mirror.Latest(), Store: v.mirror.Failing(now) == 0,
 	}
 	if c := v.mirror.Config(); c != nil {
 		b.Config = c.Number
@@ -133,8 +137,8 @@
 	if len(b.Evidence) > 0 {
 		v.rollouts.do(func(d *canary.Desk, _ time.Time) { d.Heard(b.VM.Name, b.Evidence) })
 	}
-	if c := v.mirror.Config(); !v.copying && (c == nil || b.Config > c.Number) && b.Config > 0 {
-		v.copyFrom(b.VM)
+	if !b.Store && v.mirror.Failing(now) == 0 && v.every("doubt", doubtEvery, now) {
+		v.interrupt("")
 	}
 }
 
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -140,6 +140,8 @@
 		// named is what the directory names.
 		named atomic.Pointer[naming]
 		ready atomic.Bool
+		// leading tells that this VM leads, for the watches.
+		leading atomic.Bool
 
 		// The control goroutine owns what follows.
 		self     sassafrastray.VM
@@ -153,8 +155,9 @@
 		due      map[string]time.Time
 		ticked   time.Time
 		copying  bool
+		// behind is since when another VM has known more of the store.
+		behind   time.Time
 		writing  map[sassafrastray.ServiceName]time.Time
-		failing  bool
 		distance map[sassafrastray.RegionName]time.Duration
 	}
 
--- a/internal/fleet/edge/feed.go
+++ b/internal/fleet/edge/feed.go
@@ -19,11 +19,12 @@
 
 const (
 	// followWait is how long one watch of the store waits; each is a priced
-	// call. The watch of the configuration waits for configWait only, and
-	// shows by that whether the store still answers: a store that went silent
-	// may leave a watch without an answer for good.
+	// call. A store that went silent may leave a watch without an answer for
+	// good. So the VM that leads watches the configuration for leaderWait
+	// only, and the others doubt their watches when it fails, or when another
+	// VM knows of a change that they lack.
 	followWait = 25 * time.Second
-	configWait = 3 * time.Second
+	leaderWait = 3 * time.Second
 
 	// probeWait is how long the first watch after a failed call waits, so
 	// that a store which stays silent does not hold it for long.
@@ -34,10 +35,10 @@
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
 
-	// storeAway is how long the store may not be reached before the VM turns
-	// to others, and copyEvery the time between two copies.
-	storeAway = 700 * time.Millisecond
-	copyEvery = 700 * time.Millisecond
+	// behindTime is how long another VM may know more before this one asks it
+	// for its copy, and copyEvery the time between two copies.
+	behindTime = 400 * time.Millisecond
+	copyEvery  = 700 * time.Millisecond
 )
 
 // follow keeps the copy of one topic up to date until the VM stops.
@@ -54,8 +55,8 @@
 			switch {
 			case failed:
 				wait = probeWait
-			case t == sassafrastray.TopicConfig:
-				wait = configWait
+			case t == sassafrastray.TopicConfig && v.leading.Load():
+				wait = leaderWait
 			}
 			ctx, end := v.interruptible(t)
 			b, err = v.feed.Follow(ctx, t, after, wait)
@@ -107,16 +108,22 @@
 func (v *VM) storeFailed(t sassafrastray.Topic, err error, now time.Time) {
 	if v.mirror.Failing(now) == 0 {
 		v.log.Warn("the store is not reached", "topic", t, "error", err.Error())
-		v.waits.Range(func(topic, cancel any) bool {
-			if topic != t {
-				cancel.(context.CancelFunc)()
-			}
-			return true
-		})
+		v.interrupt(t)
 	}
 	v.mirror.Failed(t, now)
 }
 
+// interrupt ends the watches of all topics but one. They begin anew, and show
+// whether the store answers.
+func (v *VM) interrupt(except sassafrastray.Topic) {
+	v.waits.Range(func(topic, cancel any) bool {
+		if topic != except {
+			cancel.(context.CancelFunc)()
+		}
+		return true
+	})
+}
+
 // applied takes in what the store said.
 func (v *VM) applied(b sassafrastray.Batch, now time.Time) {
 	away := v.mirror.Failing(now)
@@ -210,21 +217,32 @@
 	})
 }
 
-// watchStore turns to another VM while the store is not reached.
+// watchStore turns to another VM while the store is not reached, or when
+// another VM has known for a while of a change that this one lacks.
 func (v *VM) watchStore(now time.Time) {
 	failing := v.mirror.Failing(now)
 	v.metrics.failing.Set(failing.Seconds())
-	if failing < storeAway && v.mirror.Complete() || v.copying || !v.every("copy", copyEvery, now) {
-		return
-	}
+	v.leading.Store(v.leads(now))
 	from := v.wiser(now)
 	if from == nil {
+		v.behind = time.Time{}
+		return
+	}
+	if v.behind.IsZero() {
+		v.behind = now
+	}
+	if now.Sub(v.behind) < behindTime || v.copying || !v.every("copy", copyEvery, now) {
 		return
 	}
+	if failing == 0 {
+		v.log.Warn("another VM knows of a change that the store did not tell", "from", from.Name)
+		v.interrupt("")
+	}
 	v.copyFrom(*from)
 }
 
-// wiser returns a VM whose copy of the store is newer, or nil.
+// wiser returns the VM whose copy of the store has the latest changes that this
+// one lacks, or nil.
 func (v *VM) wiser(now time.Time) *sassafrastray.VM {
 	var best *sassafrastray.VM
 	most := int64(0)
@@ -233,12 +251,8 @@
 		if b == nil || m.Suspect {
 			continue
 		}
-		gain := int64(0)
-		for t, r := range b.Revisions {
-			gain += max(0, r-v.mirror.Revision(t))
-		}
-		if gain > most {
-			best, most = &m.VM, gain
+		if n := v.mirror.Lacks(b.Latest); n > most {
+			best, most = &m.VM, n
 		}
 	}
 	return best
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -47,6 +47,8 @@
 
 	topic struct {
 		revision int64
+		// latest is the greatest revision of an entry that was taken in.
+		latest int64
 		read     bool
 		entries  map[string]sassafrastray.Entry
 		// failing is when the store was first not reached, or zero.
@@ -73,15 +75,28 @@
 // Revision returns the revision that a topic's copy reflects.
 func (m *Mirror) Revision(t sassafrastray.Topic) int64 { return m.topics[t].revision }
 
-// Revisions returns the revisions of all topics.
-func (m *Mirror) Revisions() map[sassafrastray.Topic]int64 {
+// Latest returns the revision of the latest change of each topic that the copy
+// holds.
+func (m *Mirror) Latest() map[sassafrastray.Topic]int64 {
 	out := make(map[sassafrastray.Topic]int64, len(Followed))
 	for name, t := range m.topics {
-		out[name] = t.revision
+		out[name] = t.latest
 	}
 	return out
 }
 
+// Lacks tells by how many revisions the copy is behind one with the given
+// latest changes.
+func (m *Mirror) Lacks(latest map[sassafrastray.Topic]int64) int64 {
+	behind := int64(0)
+	for name, r := range latest {
+		if t := m.topics[name]; t != nil {
+			behind += max(0, r-max(t.latest, t.revision))
+		}
+	}
+	return behind
+}
+
 // Complete tells whether each topic was read once.
 func (m *Mirror) Complete() bool {
 	for _, t := range m.topics {
@@ -148,6 +163,7 @@
 		}
 	}
 	for _, e := range b.Entries {
+		t.latest = max(t.latest, e.Revision)
 		if e.Fault != "" {
 			c.Faults = append(c.Faults, e)
 		}
--- a/internal/fleet/neighbor/neighbor.go
+++ b/internal/fleet/neighbor/neighbor.go
@@ -41,13 +41,14 @@
 		Sequence uint64                    `json:"seq"`
 		// Ready tells that callers may be sent to the VM.
 		Ready bool `json:"ready,omitempty"`
-		// Config is the number of its configuration, Revisions what its copy
-		// of the store reflects, and Store whether it reaches the store.
-		Config    int64                         `json:"config,omitempty"`
-		Revisions map[sassafrastray.Topic]int64 `json:"revisions,omitempty"`
-		Store     bool                          `json:"store,omitempty"`
-		Demands   allotment.Demands             `json:"demands,omitempty"`
-		Evidence  canary.Evidence               `json:"evidence,omitempty"`
+		// Config is the number of its configuration, Latest the revisions of
+		// the latest changes that its copy of the store holds, and Store
+		// whether it reaches the store.
+		Config   int64                         `json:"config,omitempty"`
+		Latest   map[sassafrastray.Topic]int64 `json:"latest,omitempty"`
+		Store    bool                          `json:"store,omitempty"`
+		Demands  allotment.Demands             `json:"demands,omitempty"`
+		Evidence canary.Evidence               `json:"evidence,omitempty"`
 		// Seen is the incarnation that the sender knows of the receiver.
 		Seen sassafrastray.Incarnation `json:"seen,omitempty"`
 		// Digest stands for the VMs that the sender knows; Fleet has them,
--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -232,7 +232,9 @@
 	if rate := t.refill * t.share; rate > 0 {
 		wait = time.Duration((1 - t.tokens) / rate * float64(time.Second))
 	}
-	if wait <= longestDelay {
+	if wait <= longestDelay && t.falling <= t.refill*t.share {
+		// The team asks for no more than its part; chance has brought
+		// requests together.
 		t.tokens--
 		return Verdict{OK: true, Delay: wait, Share: t.share, Age: t.age}
 	}
