Set a region's first share for others when its traffic starts

Cause: the share of objects that go to other regions was set at the first batch of backend servers, when not all had registered and no distance was measured. Change: it is set at the first request. Where the way to another region is short against the work, the regions' servers are used evenly.

--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -62,6 +62,11 @@
 	idleTime = 8 * time.Second
 	maxIdle  = 16
 
+	// provedTime is how long an unused connection may carry a request that
+	// must not run twice. Opening another costs two round trips between
+	// regions.
+	provedTime = 5 * time.Second
+
 	// strays is how many answers to other requests are dropped before the
 	// one that belongs to the request.
 	strays = 2
@@ -204,7 +209,7 @@
 // build makes the parts that carry traffic.
 func (v *VM) build() {
 	v.pool = upstream.New(v.times, upstream.Options{
-		Dial: dialTimeout, Idle: idleTime, MaxIdle: maxIdle, ID: v.opt.Dialect.ID, Strays: strays, Unframed: true,
+		Dial: dialTimeout, Idle: idleTime, MaxIdle: maxIdle, ID: v.opt.Dialect.ID, Proved: provedTime, Strays: strays, Unframed: true,
 	})
 	v.inner = upstream.New(v.times, upstream.Options{Dial: dialTimeout, Idle: idleTime, MaxIdle: maxIdle})
 	v.client = neighbor.New(v.inner, v.times)
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -130,6 +130,7 @@
 	if svc == nil {
 		return Choice{Reason: None, Wait: emptyWait}, false
 	}
+	svc.start(t)
 	svc.detours = min(mostDetour, svc.detours+detourPart)
 	object, part := t.object(r)
 	far := part < svc.far
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -116,7 +116,6 @@
 	}
 	for _, s := range t.services {
 		s.rest()
-		s.start(t)
 	}
 }
 
@@ -141,7 +140,7 @@
 	if now.Sub(t.first) > settle {
 		s.coldUntil = later(s.coldUntil, now.Add(svc.cold))
 	}
-	if !svc.begun || now.Sub(t.first) <= settle {
+	if now.Sub(t.first) <= settle {
 		svc.base[b.Version] = true
 	}
 	t.servers[b.Name] = s
--- a/internal/traffic/placement/service.go
+++ b/internal/traffic/placement/service.go
@@ -15,13 +15,17 @@
 	usualWarm = 150 * time.Millisecond
 	usualCold = 400 * time.Millisecond
 
-	// full is the part of the slots of a region's servers above which
-	// objects go to other regions.
-	full = 0.75
-
-	// evenly scales the first share of other regions: a region that has less
-	// than its even part of the slots, times this, sends the rest away.
-	evenly = 1.8
+	// fullNear and fullFar are the parts of the slots of a region's servers
+	// above which objects go to other regions: if those are near, and if the
+	// way there takes as long as the work.
+	fullNear = 0.45
+	fullFar  = 0.75
+
+	// evenNear and evenFar scale the first share of other regions, by the
+	// same rule: a region that has less than its even part of the slots, times
+	// this, sends the rest away.
+	evenNear = 1.0
+	evenFar  = 1.8
 
 	// tickTime is the usual time between two calls of Tick.
 	tickTime = 200 * time.Millisecond
@@ -98,8 +102,11 @@
 }
 
 // start sets the first share of other regions from the slots, when the first
-// servers are known.
+// request comes: by then the distances are known.
 func (s *service) start(t *Table) {
+	if s.begun {
+		return
+	}
 	near, all := 0, 0
 	for region, list := range s.servers {
 		for _, v := range list {
@@ -112,7 +119,7 @@
 			}
 		}
 	}
-	if s.begun || all == 0 {
+	if all == 0 {
 		return
 	}
 	s.begun = true
@@ -121,7 +128,17 @@
 		regions[r] = true
 	}
 	even := float64(all) / float64(max(1, len(regions)))
-	s.far = min(mostFar, max(0, 1-evenly*float64(near)/even))
+	s.far = min(mostFar, max(0, 1-t.scale(s, evenNear, evenFar)*float64(near)/even))
+}
+
+// scale returns a figure between those for other regions that are near and for
+// others.
+func (t *Table) scale(s *service, near, far float64) float64 {
+	way := 0.0
+	for r := range s.servers {
+		way = max(way, float64(t.distance(r))/float64(max(1, s.warm)))
+	}
+	return near + (far-near)*min(1, way)
 }
 
 // tick moves the share of other regions towards what would leave the near
@@ -145,6 +162,7 @@
 	}
 	s.busy += smooth * (near/float64(nearSlots) - s.busy)
 	want := 0.0
+	full := t.scale(s, fullNear, fullFar)
 	if all := s.busy / max(1-mostFar, 1-s.far); all > full {
 		want = 1 - full/all
 	}
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -23,8 +23,7 @@
 	// bytes. It bounds the size of an answer's header.
 	bufferSize = 16 << 10
 
-	// provedFor is how long after its last clean answer a connection may
-	// carry a request that must not be executed twice.
+	// provedFor is the default of Options.Proved.
 	provedFor = time.Second
 
 	// spare is how long before the other side closes an idle connection it
@@ -52,6 +51,9 @@
 		// ID is the header that carries a request's id in both directions;
 		// empty means Request-Id.
 		ID string
+		// Proved is how long after its last clean answer a connection may carry
+		// a request that must not be executed twice; zero means a second.
+		Proved time.Duration
 		// Strays is how many answers to other requests may be dropped before
 		// the one that belongs to the request.
 		Strays int
@@ -96,6 +98,9 @@
 	if opt.ID == "" {
 		opt.ID = idHeader
 	}
+	if opt.Proved == 0 {
+		opt.Proved = provedFor
+	}
 	return &Pool{
 		clock: clock, opt: opt,
 		idle:    make(map[netip.AddrPort][]*conn),
@@ -134,7 +139,7 @@
 		list = list[:len(list)-1]
 		p.idle[address] = list
 		age := now.Sub(c.used)
-		old := age > p.idleFor(c) || (proved && age > provedFor) || c.opened.Before(p.suspect[address])
+		old := age > p.idleFor(c) || (proved && age > p.opt.Proved) || c.opened.Before(p.suspect[address])
 		if old || !quiet(c.Conn) {
 			c.Close()
 			continue
