Keep work on unknown objects rare while servers are full

The load of a region was not measured at all if no other region had the service. Ruled out: too few servers: all objects together fit twice into what servers know, and known work fits into 80% of the slots. Change: what an unknown object counts against a server rises with the load; requests leave their region only for a server that knows the object; the wait is computed with the mean work.

--- a/internal/traffic/placement/load_test.go
+++ b/internal/traffic/placement/load_test.go
@@ -287,3 +287,49 @@
 	}
 	return s.policy.pick(object, now)
 }
+
+// TestMoreThanTheServersCanDo is the pattern of a surge: callers ask for more
+// than the region's servers can do even if they know every object, and a server
+// that is taken away and comes back moves objects about. Work on unknown objects
+// would take the slots of several others each, so it has to stay rare; what is
+// served is served in time, and the rest is refused at once.
+func TestMoreThanTheServersCanDo(t *testing.T) {
+	all := slices.Concat(servers("n-1", 3, 4), servers("n-2", 3, 4))
+	const warm, cold = 108 * time.Millisecond, 360 * time.Millisecond
+	capacity := 24 / warm.Seconds()
+	m := newModel(all, warm, cold)
+	p := vms(all, m)
+	away := &interrupted{placed: p, all: all}
+	out := play(away, m, 70, steady(1.3*capacity), 40, 8, 4)
+	t.Logf("%d requests, %d known, %d in time, %d refused", out.all, out.known, out.inTime, out.refused)
+	served := out.all - out.refused
+	if part := float64(out.known) / float64(served); part < 0.95 {
+		t.Errorf("%.3f of what was served met a server that knew its object, want 0.95", part)
+	}
+	if part := float64(out.inTime) / float64(served); part < 0.9 {
+		t.Errorf("%.3f of what was served was in time, want 0.9", part)
+	}
+	if part := float64(out.inTime) / (0.8 * capacity * 32); part < 1 {
+		t.Errorf("%.3f of what four fifths of the servers' time can do was in time", part)
+	}
+}
+
+// interrupted takes one server away for four seconds in every twelve.
+type interrupted struct {
+	*placed
+	all  []sassafrastray.BackendServer
+	away bool
+}
+
+func (i *interrupted) tick(now time.Time) {
+	away := int(now.Sub(start).Seconds())%12 >= 8
+	if away != i.away {
+		i.away = away
+		list := slices.Clone(i.all)
+		list[0].Leaving = away
+		for _, t := range i.tables {
+			t.Update(list, nil, now)
+		}
+	}
+	i.placed.tick(now)
+}
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -39,11 +39,18 @@
 	// one in use appears later than an idle one.
 	balance = 0.3
 
-	// newcomer is the part of the additional work on an unknown object that
-	// counts against a server on top of the work itself, and stranger the
-	// part of the work that counts against one that is neither the first nor
-	// the second choice of the object.
-	newcomer = 0.5
+	// newcomerIdle and newcomerFull are the parts of the additional work on
+	// an unknown object that count against a server on top of the work
+	// itself, when the region's servers are idle and when they are full: the
+	// work then keeps others waiting.
+	newcomerIdle = 0.5
+	newcomerFull = 8.0
+
+	// fullFrom is the part of the slots in use from which that rises.
+	fullFrom = 0.4
+
+	// stranger is the part of the work that counts against a server which is
+	// neither the first nor the second choice of an unknown object.
 	stranger = 0.3
 
 	// detourPart is the part of the requests that may leave the region that
@@ -144,7 +151,7 @@
 		return Choice{Reason: None, Wait: t.opening(svc, &r, now)}, false
 	case own.server == nil:
 		own, reason = other, Detour
-	case other.server != nil && svc.detours >= 1 && r.late(own) && !r.late(other):
+	case other.server != nil && other.warm && svc.detours >= 1 && r.late(own) && !r.late(other):
 		own, reason = other, Detour
 		svc.detours--
 	case reason == Preferred && !own.first:
@@ -246,7 +253,7 @@
 		if !c.warm {
 			// Work on an object that the server does not know takes slots
 			// from others, and it pushes out an object that the server knows.
-			c.cost += time.Duration(newcomer * float64(svc.work(false)-svc.work(true)))
+			c.cost += time.Duration(svc.newcomer() * float64(svc.work(false)-svc.work(true)))
 			if s != first && s != second {
 				c.cost += time.Duration(stranger * float64(svc.work(false)))
 			}
@@ -305,7 +312,7 @@
 	}
 	slots := float64(max(1, s.Slots))
 	if c.load >= slots {
-		c.wait = time.Duration(float64(svc.warm) * s.slow * (c.load - slots + 1) / slots)
+		c.wait = time.Duration(float64(svc.mean) * s.slow * (c.load - slots + 1) / slots)
 	}
 	c.cost = t.distance(s.region) + c.work + c.wait +
 		time.Duration(balance*float64(svc.warm)*min(1, c.load/slots)) +
--- a/internal/traffic/placement/service.go
+++ b/internal/traffic/placement/service.go
@@ -59,13 +59,15 @@
 	// warm and coldWork are the measured times of work on an object that
 	// the server knew, and on another.
 	warm, coldWork time.Duration
+	// mean is the measured time of work on any object.
+	mean time.Duration
 	// detours is how many requests may leave their object's share.
 	detours float64
 }
 
 func newService(name sassafrastray.ServiceName) *service {
 	return &service{
-		name: name, warm: usualWarm, coldWork: usualCold,
+		name: name, warm: usualWarm, coldWork: usualCold, mean: usualWarm,
 		servers: make(map[sassafrastray.RegionName][]*server),
 		base:    make(map[sassafrastray.VersionName]bool),
 	}
@@ -157,10 +159,13 @@
 			}
 		}
 	}
-	if nearSlots == 0 || awaySlots == 0 {
+	if nearSlots == 0 {
 		return
 	}
 	s.busy += smooth * (near/float64(nearSlots) - s.busy)
+	if awaySlots == 0 {
+		return
+	}
 	want := 0.0
 	full := t.scale(s, fullNear, fullFar)
 	if all := s.busy / max(1-mostFar, 1-s.far); all > full {
@@ -180,6 +185,13 @@
 		of = &s.warm
 	}
 	*of += time.Duration(gain / 4 * float64(d-*of))
+	s.mean += time.Duration(gain / 4 * float64(d-s.mean))
+}
+
+// newcomer returns the part of the additional work on an unknown object that
+// counts against a server.
+func (s *service) newcomer() float64 {
+	return newcomerIdle + (newcomerFull-newcomerIdle)*min(1, max(0, s.busy-fullFrom)/(1-fullFrom))
 }
 
 // work returns the expected time of work.
