Gather changes of backend servers for 0.3 s

Change: a pause after such a change; a leaving server may get requests for two seconds, so 0.3 s of them is harmless.

--- a/internal/fleet/edge/feed.go
+++ b/internal/fleet/edge/feed.go
@@ -26,6 +26,10 @@
 	followWait = 25 * time.Second
 	leaderWait = 3 * time.Second
 
+	// gather is the pause after a change of the backend servers, well within
+	// the time in which a leaving one may still get requests.
+	gather = 300 * time.Millisecond
+
 	// probeWait is how long the first watch after a failed call waits, so
 	// that a store which stays silent does not hold it for long.
 	probeWait = 200 * time.Millisecond
@@ -70,6 +74,11 @@
 		case err == nil:
 			read, failed, after, pause = true, false, b.Revision, firstPause
 			v.post(func(now time.Time) { v.applied(b, now) })
+			if t == sassafrastray.TopicBackends {
+				// Servers mostly come and go together; one call then tells of
+				// several.
+				v.sleep(gather)
+			}
 		case errors.Is(err, sassafrastray.ErrCompacted):
 			v.log.Warn("the store's history is gone; reading the topic anew", "topic", t, "after", after)
 			read = false
