--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -48,9 +48,9 @@
 	topic struct {
 		revision int64
 		// latest is the greatest revision of an entry that was taken in.
-		latest int64
-		read     bool
-		entries  map[string]sassafrastray.Entry
+		latest  int64
+		read    bool
+		entries map[string]sassafrastray.Entry
 		// failing is when the store was first not reached, or zero.
 		failing time.Time
 		// mended is when it was reached again after an outage.
--- a/internal/traffic/placement/load_test.go
+++ b/internal/traffic/placement/load_test.go
@@ -35,11 +35,13 @@
 
 	// modelled is a server with slots, a queue and a memory of objects.
 	modelled struct {
-		name    sassafrastray.BackendName
-		domain  sassafrastray.DomainName
-		slots   int
-		free    []time.Time
-		load    int
+		name   sassafrastray.BackendName
+		domain sassafrastray.DomainName
+		slots  int
+		free   []time.Time
+		load   int
+		// factor makes the server slower, if it is set.
+		factor  int
 		order   *list.List
 		entries map[string]*list.Element
 	}
@@ -94,6 +96,7 @@
 			s.order.Remove(last)
 		}
 	}
+	work *= time.Duration(max(1, s.factor))
 	i := 0
 	for j := range s.free {
 		if s.free[j].Before(s.free[i]) {
@@ -333,3 +336,44 @@
 	}
 	i.placed.tick(now)
 }
+
+// TestServersTurnSlow is the pattern of servers that take ten times their usual
+// time from one moment on. Their load and their late answers keep others away.
+func TestServersTurnSlow(t *testing.T) {
+	all := slices.Concat(servers("n-1", 3, 3), servers("n-2", 3, 3))
+	m := newModel(all, 192*time.Millisecond, 640*time.Millisecond)
+	p := &slowed{placed: vms(all, m)}
+	out := play(p, m, 24, steady(25), 24, 12, 6)
+	t.Logf("%d in time of %d, %d at slow servers", out.inTime, out.all, p.slow)
+	// Three VMs each have a few requests at the two servers before they know.
+	if p.slow > 60 {
+		t.Errorf("%d requests at slow servers, want 60", p.slow)
+	}
+	if part := float64(out.inTime) / float64(out.all); part < 0.75 {
+		t.Errorf("%.3f in time, want 0.75", part)
+	}
+}
+
+// slowed makes two servers ten times as slow after twelve seconds.
+type slowed struct {
+	*placed
+	slow int
+}
+
+func (s *slowed) tick(now time.Time) {
+	for _, v := range s.model.servers[:2] {
+		v.factor = 1
+		if now.Sub(start) >= 12*time.Second {
+			v.factor = 10
+		}
+	}
+	s.placed.tick(now)
+}
+
+func (s *slowed) pick(object string, now time.Time) (sassafrastray.BackendName, func(time.Duration, time.Time), bool) {
+	name, done, ok := s.placed.pick(object, now)
+	if ok && s.model.byName[name].factor > 1 {
+		s.slow++
+	}
+	return name, done, ok
+}
