Count a team's requests within the window instead of lending tokens to it

Cause: token buckets of small teams hold one or two requests on each VM, which chance uses up: 14 of 317 requests of a team well inside its rate were refused, 18 of 320 at two VMs, 34 of 1805 while callers moved (known red). A VM that was cut off before it was heard of took a sixth on top of the others' whole. Ruled out: deeper buckets (the bound), a longer wait (400 ms: 8 of 318). Change: a VM admits up to its part of what the window allows; heartbeats tell what was admitted; VMs that are registered count before they are heard of.

--- a/internal/fleet/edge/beat.go
+++ b/internal/fleet/edge/beat.go
@@ -75,7 +75,7 @@
 	if c := v.mirror.Config(); c != nil {
 		b.Config = c.Number
 	}
-	v.quotas.do(func(q *allotment.Book, now time.Time) { b.Demands = q.Tell(now) })
+	v.quotas.do(func(q *allotment.Book, now time.Time) { b.Uses = q.Tell(now) })
 	v.rollouts.do(func(d *canary.Desk, _ time.Time) { b.Evidence = d.Evidence() })
 	return b
 }
@@ -133,7 +133,7 @@
 	kept := *b
 	kept.Fleet = nil
 	v.beats[b.VM.Name] = &kept
-	v.quotas.do(func(q *allotment.Book, now time.Time) { q.Heard(b.VM.Name, b.Demands, now) })
+	v.quotas.do(func(q *allotment.Book, now time.Time) { q.Heard(b.VM.Name, b.Uses, now) })
 	if len(b.Evidence) > 0 {
 		v.rollouts.do(func(d *canary.Desk, _ time.Time) { d.Heard(b.VM.Name, b.Evidence) })
 	}
@@ -154,6 +154,11 @@
 		others = append(others, m.Name)
 	}
 	v.places.do(func(t *placement.Table, _ time.Time) { t.Fleet(others) })
+	v.quotas.do(func(q *allotment.Book, _ time.Time) {
+		for _, name := range others {
+			q.Known(name)
+		}
+	})
 }
 
 // measure keeps the shortest round trip to each region, slowly forgetting it.
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -81,6 +81,10 @@
 	// taskQueue bounds the tasks that wait for the control goroutine.
 	taskQueue = 512
 
+	// vmsEach is how many VMs a failure domain is taken to have before they
+	// are known.
+	vmsEach = 2
+
 	// retryPart is the part of the fleet's bound on retries that is used, as
 	// the VMs don't count each other's.
 	retryPart = 0.75
@@ -219,7 +223,7 @@
 		Self: v.self.Name, Region: v.opt.Region, Regions: v.opt.Regions, Bounds: v.opt.Bounds,
 	}, v.random())}
 	v.quotas = &quotas{clock: v.clock, book: allotment.New(allotment.Options{
-		Fleet: len(v.opt.Regions), Window: v.opt.Bounds.QuotaWindow, Over: v.opt.Bounds.QuotaOver, Reserve: v.opt.Bounds.QuotaReserve,
+		Fleet: vmsEach * len(v.opt.Regions), Window: v.opt.Bounds.QuotaWindow, Over: v.opt.Bounds.QuotaOver, Reserve: v.opt.Bounds.QuotaReserve,
 	})}
 	v.rollouts = &rollouts{clock: v.clock, desk: canary.New(v.opt.Bounds.Exposure)}
 	v.handler = ingress.New(ingress.Deps{
@@ -232,7 +236,7 @@
 
 // retryOptions divides the fleet's bound on retries among the VMs.
 func (v *VM) retryOptions() retry.Options {
-	fleet := max(1, 2*len(v.opt.Regions))
+	fleet := max(1, vmsEach*len(v.opt.Regions))
 	return retry.Options{
 		Ratio:    retryPart * v.opt.Bounds.RetryRatio,
 		Reserve:  max(1, retryPart*float64(v.opt.Bounds.RetryReserve)/float64(fleet)),
--- a/internal/fleet/neighbor/neighbor.go
+++ b/internal/fleet/neighbor/neighbor.go
@@ -47,7 +47,7 @@
 		Config   int64                         `json:"config,omitempty"`
 		Latest   map[sassafrastray.Topic]int64 `json:"latest,omitempty"`
 		Store    bool                          `json:"store,omitempty"`
-		Demands  allotment.Demands             `json:"demands,omitempty"`
+		Uses     allotment.Uses                `json:"uses,omitempty"`
 		Evidence canary.Evidence               `json:"evidence,omitempty"`
 		// Seen is the incarnation that the sender knows of the receiver.
 		Seen sassafrastray.Incarnation `json:"seen,omitempty"`
--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -10,10 +10,9 @@
 // others have had the time to hear of the demand that it rests on.
 //
 // What a team may have in any window is its rate over the window and its
-// burst. Most of the burst is added to the rate, and the rest is the size of the
-// VMs' token buckets; those of small teams may use the reserve for the time in
-// which VMs learn of each other. A request that finds no token but one about to
-// come waits for it.
+// burst. A VM admits a request if it has admitted fewer than its part of that
+// within the window, and if what all VMs told that they admitted leaves room.
+// The second condition holds while a team's requests move from VM to VM.
 //
 // Nothing here does I/O. Callers hold a lock around all calls.
 package allotment
@@ -28,12 +27,12 @@
 const (
 	// evenPart is the part of a rate that is divided evenly among the VMs
 	// that hear each other, whatever their demand.
-	evenPart = 0.15
+	evenPart = 0.10
 
 	// slight is a demand in requests per second that is assumed everywhere on
 	// top of the measured one, so that the chance of few requests does not
 	// divide the rate.
-	slight = 0.7
+	slight = 0.3
 
 	// silent is how long after its last heartbeat a VM counts as cut off.
 	silent = 3500 * time.Millisecond
@@ -47,6 +46,10 @@
 	risingTime  = 400 * time.Millisecond
 	fallingTime = 3 * time.Second
 
+	// evenLeast is the part of an even part that a VM has whatever the others
+	// told that they admitted.
+	evenLeast = 0.3
+
 	// chance is how many standard deviations of its count a rise must have.
 	chance = 2
 
@@ -54,23 +57,23 @@
 	// requests asks for a heartbeat at once.
 	grown = 1.2
 
-	// bucketPart is the least part of a burst that is the size of the buckets.
-	bucketPart = 0.3
-
-	// bucketEach is how many requests in a row a VM should admit.
-	bucketEach = 3
+	// overlap is the part of a team's due by which the VMs' parts of it may
+	// overlap while they change within a window; what the team may have
+	// beyond its due has to cover that. reservePart of the reserve comes on
+	// top.
+	overlap     = 0.13
+	reservePart = 0.4
 
-	// overPart and reservePart are the parts of what a team may have beyond
-	// its due that the buckets may use.
-	overPart    = 0.5
-	reservePart = 0.8
+	// young is how long after its start a VM takes the fleet to be as large
+	// as its options say, however few VMs it knows.
+	young = 7 * time.Second
 
 	// longestDelay is how long a request waits at most for a token.
 	longestDelay = 250 * time.Millisecond
 
-	// startFill is the part of its burst that a VM has when it starts, since
-	// an earlier run of it may have spent the rest.
-	startFill = 0.3
+	// startPart is the part of its due that counts as used when a VM starts,
+	// since an earlier run of it may have used that.
+	startPart = 0.2
 
 	// leastWait and mostWait bound the time after which a refused request is
 	// asked to come back.
@@ -92,8 +95,16 @@
 		Reserve int
 	}
 
-	// Demands are the requests per second that each team asks of one VM.
-	Demands map[sassafrastray.TeamName]float64
+	// Use is what one team asks of one VM.
+	Use struct {
+		// Demand is in requests per second.
+		Demand float64 `json:"d,omitempty"`
+		// Admitted is the number of requests admitted within the window.
+		Admitted int `json:"n,omitempty"`
+	}
+
+	// Uses are those of all teams at one VM.
+	Uses map[sassafrastray.TeamName]Use
 
 	// Verdict tells whether a request is admitted.
 	Verdict struct {
@@ -114,27 +125,33 @@
 		teams map[sassafrastray.TeamName]*team
 		peers map[sassafrastray.VMName]*peer
 		// told is what the others can have heard of this VM's demand.
-		told  Demands
+		told  Uses
 		short bool
+		// began is when the first part was computed.
+		began time.Time
+		// started is set once the first teams were known.
+		started bool
 	}
 
 	peer struct {
-		heard   time.Time
-		demands Demands
+		heard time.Time
+		uses  Uses
 	}
 
 	team struct {
 		rate, burst float64
-		// bucket is the size of all VMs' buckets, refill the rate of all.
-		bucket, refill float64
-		tokens         float64
-		filled         time.Time
+		// admitted are the times of the requests within the window, the
+		// oldest first; those that wait for their time are among them.
+		admitted []time.Time
 		// rising and falling are moving rates of requests as of counted.
 		rising, falling float64
 		counted         time.Time
-		share           float64
-		age             time.Duration
-		shared          time.Time
+		// share is the VM's part, room how many requests it may have within
+		// the window; others is what the other VMs have had.
+		share  float64
+		room   float64
+		age    time.Duration
+		shared time.Time
 	}
 )
 
@@ -145,12 +162,12 @@
 func New(opt Options) *Book {
 	return &Book{
 		opt: opt, teams: make(map[sassafrastray.TeamName]*team),
-		peers: make(map[sassafrastray.VMName]*peer), told: Demands{},
+		peers: make(map[sassafrastray.VMName]*peer), told: Uses{},
 	}
 }
 
-// Configure takes in the teams' rates. What a team has left of its burst is
-// kept, within its new burst.
+// Configure takes in the teams' rates. What a team has had within the window
+// goes on counting.
 func (b *Book) Configure(teams []sassafrastray.Team, now time.Time) {
 	next := make(map[sassafrastray.TeamName]*team, len(teams))
 	for i := range teams {
@@ -159,52 +176,68 @@
 			continue
 		}
 		t := b.teams[c.Name]
-		if t == nil {
-			t = &team{counted: now, filled: now, tokens: -1}
+		fresh := t == nil
+		if fresh {
+			t = &team{counted: now}
 		}
-		t.rate, t.burst, t.shared = c.Rate, float64(c.Burst), time.Time{}
+		t.rate, t.burst = c.Rate, float64(c.Burst)
 		next[c.Name] = t
-	}
-	b.teams = next
-	for name, t := range b.teams {
-		b.divide(t, name, now)
-		if t.tokens < 0 {
-			t.tokens = startFill * t.room()
+		b.divide(t, c.Name, now)
+		if fresh && !b.started {
+			t.use(int(startPart*t.room), now)
 		}
-		t.tokens = min(t.tokens, t.room())
 	}
+	b.teams, b.started = next, b.started || len(next) > 0
 }
 
-// Suspended empties the book after a time in which the VM stood still: what it
-// knew of the others is old, and they may have used its part.
-func (b *Book) Suspended(now time.Time) {
-	for _, t := range b.teams {
-		t.tokens, t.filled, t.shared = 0, now, time.Time{}
+// use counts requests that may have been admitted.
+func (t *team) use(n int, now time.Time) {
+	for range n {
+		t.admitted = append(t.admitted, now)
 	}
+}
+
+// Suspended counts all parts as used after a time in which the VM stood still:
+// what it knew of the others is old, and they may have used its part.
+func (b *Book) Suspended(now time.Time) {
 	for _, p := range b.peers {
 		p.heard = time.Time{}
 	}
+	for name, t := range b.teams {
+		b.divide(t, name, now)
+		t.admitted = t.admitted[:0]
+		t.use(int(math.Ceil(t.room)), now)
+	}
+}
+
+// Heard takes in what teams ask of another VM.
+func (b *Book) Heard(vm sassafrastray.VMName, u Uses, now time.Time) {
+	b.peers[vm] = &peer{heard: now, uses: u}
 }
 
-// Heard takes in another VM's demands.
-func (b *Book) Heard(vm sassafrastray.VMName, d Demands, now time.Time) {
-	b.peers[vm] = &peer{heard: now, demands: d}
+// Known tells of a VM that may admit requests, whether or not it was heard of.
+func (b *Book) Known(vm sassafrastray.VMName) {
+	if b.peers[vm] == nil {
+		b.peers[vm] = &peer{}
+	}
 }
 
 // Gone forgets a VM that will not come back.
 func (b *Book) Gone(vm sassafrastray.VMName) { delete(b.peers, vm) }
 
-// Tell returns the demands for the next heartbeat.
-func (b *Book) Tell(now time.Time) Demands {
-	d := Demands{}
+// Tell returns what teams ask of this VM, for the next heartbeat.
+func (b *Book) Tell(now time.Time) Uses {
+	out := Uses{}
 	for name, t := range b.teams {
 		t.decay(now)
-		if n := t.demand(); n > 0.05 {
-			d[name] = float64(int(n*10)) / 10
+		t.forget(now, b.opt.Window)
+		u := Use{Demand: float64(int(t.demand()*10)) / 10, Admitted: len(t.admitted)}
+		if u != (Use{}) {
+			out[name] = u
 		}
 	}
-	b.told, b.short = d, false
-	return d
+	b.told, b.short = out, false
+	return out
 }
 
 // Take admits a request of the team, or tells when it would be. A team without
@@ -217,51 +250,55 @@
 	t.decay(now)
 	t.rising += float64(time.Second) / float64(risingTime)
 	t.falling += float64(time.Second) / float64(fallingTime)
+	t.forget(now, b.opt.Window)
 	if now.Sub(t.shared) >= refresh {
 		b.divide(t, name, now)
 	}
-	t.fill(now)
-	if t.tokens >= 1 {
-		t.tokens--
-		return Verdict{OK: true, Share: t.share, Age: t.age}
+	v := Verdict{Share: t.share, Age: t.age}
+	room := max(1, int(t.room))
+	if len(t.admitted) < room {
+		t.admitted = append(t.admitted, now)
+		v.OK = true
+		return v
 	}
-	if t.demand() > grown*b.told[name] {
+	if t.demand() > grown*b.told[name].Demand {
 		b.short = true
 	}
-	wait := mostWait
-	if rate := t.refill * t.share; rate > 0 {
-		wait = time.Duration((1 - t.tokens) / rate * float64(time.Second))
-	}
-	if wait <= longestDelay && t.falling <= t.refill*t.share {
-		// The team asks for no more than its part; chance has brought
-		// requests together.
-		t.tokens--
-		return Verdict{OK: true, Delay: wait, Share: t.share, Age: t.age}
+	// The oldest requests leave the window first.
+	v.Wait = t.admitted[len(t.admitted)-room].Add(b.opt.Window).Sub(now)
+	if v.Wait <= longestDelay {
+		t.admitted = append(t.admitted, now.Add(v.Wait))
+		v.OK, v.Delay, v.Wait = true, v.Wait, 0
+		return v
 	}
-	return Verdict{Wait: min(mostWait, max(leastWait, wait)), Share: t.share, Age: t.age}
+	v.Wait = min(mostWait, max(leastWait, v.Wait))
+	return v
 }
 
 // Short tells whether a team was refused whose demand the others don't know
 // yet, so that a heartbeat should go out at once.
 func (b *Book) Short() bool { return b.short }
 
-// Refund gives back the token of a request that reached no backend server.
+// Refund takes back the latest request, which reached no backend server.
 func (b *Book) Refund(name sassafrastray.TeamName) {
-	if t := b.teams[name]; t != nil {
-		t.tokens = min(t.room(), t.tokens+1)
+	if t := b.teams[name]; t != nil && len(t.admitted) > 0 {
+		t.admitted = t.admitted[:len(t.admitted)-1]
 	}
 }
 
-// divide computes the VM's part of the team's rate.
+// divide computes the VM's part of what the team may have.
 func (b *Book) divide(t *team, name sassafrastray.TeamName, now time.Time) {
-	t.shared = now
-	own := min(t.demand(), b.told[name])
-	all, heard, cut := own, 1, 0
-	t.age = 0
+	t.shared, t.age = now, 0
+	due := t.rate*b.opt.Window.Seconds() + t.burst
+	most := (1+b.opt.Over-overlap)*due + reservePart*float64(b.opt.Reserve)
+	own := min(t.demand(), b.told[name].Demand)
+	all, others, heard, cut := own, 0, 1, 0
 	for vm, p := range b.peers {
 		switch age := now.Sub(p.heard); {
 		case age <= silent:
-			all += p.demands[name]
+			u := p.uses[name]
+			all += u.Demand
+			others += u.Admitted
 			heard++
 			t.age = max(t.age, age)
 		case age > forget && !p.heard.IsZero():
@@ -270,33 +307,26 @@
 			cut++
 		}
 	}
-	// VMs that were never heard of count too while the VM is new.
-	cut = max(cut, b.opt.Fleet-heard)
-	reach := float64(heard) / float64(heard+cut)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	if now.Sub(b.began) < young {
+		cut = max(cut, b.opt.Fleet-heard)
+	}
 	vms := float64(heard)
 	part := evenPart/vms + (1-evenPart)*(own+slight)/(all+slight*vms)
+	reach := vms / (vms + float64(cut))
 	t.share = reach * part
-	b.size(t, float64(heard+cut))
+	t.room = min(t.share*most, max(evenLeast*reach*most/vms, reach*most-float64(others)))
 }
 
-// size divides what the team may have in a window between the refill and the
-// buckets of all VMs.
-func (b *Book) size(t *team, vms float64) {
-	window := b.opt.Window.Seconds()
-	due := t.rate*window + t.burst
-	most := due*(1+overPart*b.opt.Over) + reservePart*float64(b.opt.Reserve)
-	t.bucket = max(bucketPart*t.burst, min(bucketEach*vms, most-t.rate*window))
-	t.refill = min(t.rate+(1-bucketPart)*t.burst/window, (most-t.bucket)/window)
-}
-
-// room is the greatest number of tokens that the VM holds.
-func (t *team) room() float64 { return max(1, t.bucket*t.share) }
-
-func (t *team) fill(now time.Time) {
-	if d := now.Sub(t.filled); d > 0 {
-		t.tokens = min(t.room(), t.tokens+t.refill*t.share*d.Seconds())
+// forget drops the requests that have left the window.
+func (t *team) forget(now time.Time, window time.Duration) {
+	n := 0
+	for n < len(t.admitted) && now.Sub(t.admitted[n]) >= window {
+		n++
 	}
-	t.filled = now
+	t.admitted = append(t.admitted[:0], t.admitted[n:]...)
 }
 
 func (t *team) decay(now time.Time) {
--- a/internal/limit/allotment/allotment_test.go
+++ b/internal/limit/allotment/allotment_test.go
@@ -44,7 +44,7 @@
 	letter struct {
 		at       time.Time
 		from, to sassafrastray.VMName
-		demands  Demands
+		uses     Uses
 	}
 )
 
@@ -65,9 +65,14 @@
 
 // start starts a VM, or starts it anew.
 func (w *world) start(name sassafrastray.VMName) {
-	b := New(Options{Fleet: 6, Window: window, Over: over, Reserve: reserve})
+	b := New(Options{Fleet: 12, Window: window, Over: over, Reserve: reserve})
 	b.Configure([]sassafrastray.Team{w.team}, w.now)
 	w.books[name] = b
+	for _, known := range w.names {
+		if known != name {
+			b.Known(known)
+		}
+	}
 	w.dead[name] = false
 	w.beats[name] = w.now.Add(time.Duration(w.rng.IntN(1000)) * time.Millisecond)
 }
@@ -94,7 +99,7 @@
 		case w.now.Before(l.at):
 			rest = append(rest, l)
 		case !w.dead[l.to] && w.cut[l.from] == w.cut[l.to]:
-			w.books[l.to].Heard(l.from, l.demands, w.now)
+			w.books[l.to].Heard(l.from, l.uses, w.now)
 		}
 	}
 	w.late = rest
@@ -236,7 +241,7 @@
 
 func (d demand) check(t *testing.T) {
 	w := newWorld(11, d.rate, int(d.rate), 5)
-	w.run(4*time.Second, 0.625*d.rate, d.shapes[0])
+	w.run(9*time.Second, 0.625*d.rate, d.shapes[0])
 	w.asked, w.refused = 0, 0
 	for range 3 {
 		for _, shape := range d.shapes {
@@ -296,7 +301,7 @@
 
 // TestNoRate checks that a team without a rate is always admitted.
 func TestNoRate(t *testing.T) {
-	b := New(Options{Fleet: 6, Window: window, Over: over, Reserve: reserve})
+	b := New(Options{Fleet: 12, Window: window, Over: over, Reserve: reserve})
 	b.Configure([]sassafrastray.Team{{Name: "t"}}, start)
 	for range 10000 {
 		if !b.Take("t", start).OK {
--- /dev/null
+++ b/internal/traffic/upstream/answer_test.go
@@ -0,0 +1,142 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+)
+
+// TestAnswers runs the scripts of the data file: the bytes that a server sends
+// when a request has come, or before its body has, and what the caller is to see.
+// In the bytes, \r and \n stand for themselves.
+func TestAnswers(t *testing.T) {
+	a, err := txtar.ParseFile("testdata/answers.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range a.Files {
+		t.Run(f.Name, func(t *testing.T) { answers(t, string(f.Data)) })
+	}
+}
+
+// scripted is a server that follows one script on each connection.
+type scripted struct {
+	lines []string
+}
+
+func (s *scripted) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, line := range s.lines {
+		verb, arg, _ := strings.Cut(line, " ")
+		switch verb {
+		case "head":
+			var h fasthttp.RequestHeader
+			if h.Read(r) != nil {
+				return
+			}
+		case "request":
+			var req fasthttp.Request
+			if req.Read(r) != nil {
+				return
+			}
+		case "send":
+			text, err := strconv.Unquote(`"` + arg + `"`)
+			if err != nil {
+				panic(line)
+			}
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+		case "reset":
+			// Bytes that nobody read make the close a reset.
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		case "hold":
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+}
+
+func answers(t *testing.T, data string) {
+	s := &scripted{}
+	var want []string
+	size := 0
+	for line := range strings.SplitSeq(strings.TrimSpace(data), "\n") {
+		verb, arg, _ := strings.Cut(line, " ")
+		switch verb {
+		case "body":
+			size, _ = strconv.Atoi(arg)
+		case "see":
+			want = append(want, arg)
+		default:
+			s.lines = append(s.lines, line)
+		}
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	p := New(sassafrastray.SystemClock{}, Options{
+		Dial: time.Second, Idle: time.Minute, MaxIdle: 8, ID: "Id", Strays: 2, Unframed: true,
+	})
+	defer p.Close()
+	address := netip.MustParseAddrPort(ln.Addr().String())
+	for i, w := range want {
+		if got := see(p, address, size, i); got != w {
+			t.Errorf("request %d: got %q, want %q", i, got, w)
+		}
+	}
+}
+
+// see sends the request with the id rN and describes what came of it.
+func see(p *Pool, address netip.AddrPort, size, n int) string {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("/")
+	req.Header.SetHost("test.example")
+	req.Header.Set("Id", fmt.Sprint("r", n))
+	if size > 0 {
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetBodyRaw(bytes.Repeat([]byte("x"), size))
+	}
+	x := p.Start(Call{Address: address, Deadline: time.Now().Add(2 * time.Second), Progress: time.Second})
+	out := x.Do(req, resp)
+	if out.Failure != None {
+		return fmt.Sprintf("%s sent=%v", out.Failure, out.Sent)
+	}
+	var body []byte
+	var err error
+	if s := resp.BodyStream(); s != nil {
+		body, err = io.ReadAll(s)
+	}
+	if err != nil {
+		return fmt.Sprintf("%d cut", resp.StatusCode())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%d %s kept=%d", resp.StatusCode(), body, len(p.idle[address]))
+}
