Give a try up for another only when a server holds a place for it

Ruled out: the order of SIGTERM and the end (checked, the VM was not stopping); the budget (it had a token). Change: the place for the second try is taken before the first is ended, and given back if it is not used.

--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -46,8 +47,8 @@
 type attempt struct {
 	choice placement.Choice
 	start  time.Time
-	// cut is set if the try was ended early for another.
-	cut  atomic.Bool
+	// next is the server of the try for which this one was ended early.
+	next atomic.Pointer[placement.Choice]
 	resp *fasthttp.Response
 	out  upstream.Outcome
 	body []byte
@@ -63,9 +64,14 @@
 	var exclude []sassafrastray.BackendName
 	var maybe bool
 	var failure *attempt
+	var held *placement.Choice
 	for q.tries = 1; ; q.tries++ {
-		a, r := h.try(q, exclude)
+		a, r := h.try(q, exclude, held)
+		if held = nil; a != nil {
+			held = a.next.Load()
+		}
 		if r == nil && !h.worthAnother(q, a) {
+			h.release(held)
 			h.deliver(q, a)
 			return nil
 		}
@@ -95,6 +101,7 @@
 		}
 		d := h.Retries.Next(next)
 		if !d.Retry || !q.repeatable() || q.isGone() {
+			h.release(held)
 			return h.giveUp(q, failure, r)
 		}
 		if failure != nil && failure != a {
@@ -127,19 +134,23 @@
 }
 
 // try sends the request once. It returns a refusal if there is no answer, with
-// the attempt if a server was chosen.
-func (h *Handler) try(q *request, exclude []sassafrastray.BackendName) (*attempt, *refusal) {
+// the attempt if a server was chosen. Held is a place that the request has
+// already, or nil.
+func (h *Handler) try(
+	q *request, exclude []sassafrastray.BackendName, held *placement.Choice,
+) (*attempt, *refusal) {
 	now := h.Clock.Now()
 	if !now.Before(q.deadline) {
+		h.release(held)
 		return nil, notRun(sassafrastray.ReasonDeadline, "")
 	}
-	only, except, narrow := h.Rollouts.Draw(q.service)
-	c, ok := h.Placement.Pick(placement.Request{
-		Service: q.service, Object: q.object, Sticky: q.route.Sticky, Regions: q.homes, Only: only, Except: except,
-		Narrow: narrow, Rank: q.rank, Objective: q.route.Objective, Left: q.deadline.Sub(now), Exclude: exclude,
-	})
+	c, ok := placement.Choice{}, held != nil
+	if ok {
+		c = *held
+	} else {
+		c, ok = h.pick(q, exclude)
+	}
 	q.choice = c
-	h.Metrics.Choices.WithLabelValues(string(c.Reason)).Inc()
 	if !ok {
 		reason := sassafrastray.ReasonBusy
 		if c.Reason == placement.None {
@@ -151,7 +162,7 @@
 		return nil, r
 	}
 	a := &attempt{choice: c, start: now, resp: fasthttp.AcquireResponse()}
-	r := h.exchange(q, a)
+	r := h.exchange(q, a, exclude)
 	h.judge(q, a, r)
 	return a, r
 }
@@ -164,7 +175,7 @@
 }
 
 // exchange sends the request and reads the answer.
-func (h *Handler) exchange(q *request, a *attempt) *refusal {
+func (h *Handler) exchange(q *request, a *attempt, exclude []sassafrastray.BackendName) *refusal {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	h.outbound(q, req, a)
@@ -177,8 +188,9 @@
 	}
 	x := h.Pool.Start(call)
 	q.attach(x)
-	defer h.limit(q, a, x)()
+	end := h.limit(q, a, x, exclude)
 	a.out = x.Do(req, a.resp)
+	end()
 	if a.out.Failure != upstream.None {
 		return h.failed(q, a)
 	}
@@ -190,24 +202,47 @@
 	return h.readAnswer(q, a)
 }
 
-// limit makes the try of an idempotent request end early enough for another,
-// if there can be one when that time comes. A VM that is stopping breaks
-// nothing off at which a server may be at work.
-func (h *Handler) limit(q *request, a *attempt, x *upstream.Exchange) (end func()) {
+// limit makes the try of an idempotent request end early enough for another, if
+// there can be one when that time comes: the budget has a token, and a server
+// holds a place for it. A VM that is stopping breaks nothing off at which a
+// server may be at work.
+func (h *Handler) limit(q *request, a *attempt, x *upstream.Exchange, exclude []sassafrastray.BackendName) (end func()) {
 	left := q.deadline.Sub(a.start)
 	d := max(time.Duration(firstPart*float64(left)), tooSlow*a.choice.Expected)
 	if !q.route.Idempotent || q.tries >= q.route.Attempts || !q.repeatable() || d >= left {
 		return func() {}
 	}
+	exclude = append(slices.Clone(exclude), a.choice.Server.Name)
 	t := time.AfterFunc(d, func() {
-		if !h.leaving.Load() && h.Retries.Affords(q.service) {
-			a.cut.Store(true)
+		if h.leaving.Load() || !h.Retries.Affords(q.service) {
+			return
+		}
+		if c, ok := h.pick(q, exclude); ok {
+			a.next.Store(&c)
 			x.Expire()
 		}
 	})
 	return func() { t.Stop() }
 }
 
+// pick chooses a server for the request.
+func (h *Handler) pick(q *request, exclude []sassafrastray.BackendName) (placement.Choice, bool) {
+	only, except, narrow := h.Rollouts.Draw(q.service)
+	c, ok := h.Placement.Pick(placement.Request{
+		Service: q.service, Object: q.object, Sticky: q.route.Sticky, Regions: q.homes, Only: only, Except: except,
+		Narrow: narrow, Rank: q.rank, Objective: q.route.Objective, Left: q.deadline.Sub(h.Clock.Now()), Exclude: exclude,
+	})
+	h.Metrics.Choices.WithLabelValues(string(c.Reason)).Inc()
+	return c, ok
+}
+
+// release gives back the place that was held for a try that will not be.
+func (h *Handler) release(c *placement.Choice) {
+	if c != nil {
+		h.Placement.Done(*c, placement.Cancelled, 0, nil)
+	}
+}
+
 // outbound makes the request that a backend server sees.
 func (h *Handler) outbound(q *request, req *fasthttp.Request, a *attempt) {
 	q.ctx.Request.Header.CopyTo(&req.Header)
@@ -245,7 +280,7 @@
 	case upstream.Dial:
 		r.reason = sassafrastray.ReasonBackend
 	case upstream.Silent:
-		if !a.cut.Load() {
+		if a.next.Load() == nil {
 			r.reason = sassafrastray.ReasonDeadline
 		}
 	case upstream.Aborted, upstream.Body:
