Open and serve listeners in one package, name outcomes of calls once

Cause: edge and vm each opened, served and shut down their listeners, and each named the outcomes of store calls. Change: internal/fleet/listener and sassafrastray.Outcome are used by both.

--- a/internal/fleet/edge/feed.go
+++ b/internal/fleet/edge/feed.go
@@ -69,7 +69,7 @@
 		} else {
 			b, err = v.feed.Read(v.ctx, t, false)
 		}
-		v.metrics.store.WithLabelValues(string(t), outcome(err)).Inc()
+		v.metrics.store.WithLabelValues(string(t), sassafrastray.Outcome(err)).Inc()
 		switch {
 		case err == nil:
 			read, failed, after, pause = true, false, b.Revision, firstPause
@@ -292,7 +292,7 @@
 	defer v.loops.Done()
 	for pause := firstPause; v.ctx.Err() == nil; pause = min(lastPause, 2*pause) {
 		err := v.feed.Register(v.ctx, v.opt.VM)
-		v.metrics.store.WithLabelValues("register", outcome(err)).Inc()
+		v.metrics.store.WithLabelValues("register", sassafrastray.Outcome(err)).Inc()
 		if err == nil {
 			return
 		}
@@ -308,7 +308,7 @@
 		ctx, cancel := context.WithTimeout(v.ctx, copyTimeout)
 		defer cancel()
 		b, err := v.feed.Read(ctx, sassafrastray.TopicVMs, true)
-		v.metrics.store.WithLabelValues(string(sassafrastray.TopicVMs), outcome(err)).Inc()
+		v.metrics.store.WithLabelValues(string(sassafrastray.TopicVMs), sassafrastray.Outcome(err)).Inc()
 		if err != nil {
 			return
 		}
@@ -323,18 +323,3 @@
 		})
 	})
 }
-
-// outcome names the outcome of a call for metrics.
-func outcome(err error) string {
-	switch {
-	case err == nil:
-		return "ok"
-	case errors.Is(err, sassafrastray.ErrConflict):
-		return "conflict"
-	case errors.Is(err, sassafrastray.ErrCompacted):
-		return "compacted"
-	case errors.Is(err, sassafrastray.ErrUnknown):
-		return "unknown"
-	}
-	return "unavailable"
-}
--- a/internal/fleet/edge/lead.go
+++ b/internal/fleet/edge/lead.go
@@ -38,7 +38,7 @@
 		ctx, cancel := context.WithTimeout(v.ctx, writeTimeout)
 		defer cancel()
 		revision, err := v.feed.Report(ctx, s.Rollout, s.Revision)
-		v.metrics.store.WithLabelValues("report", outcome(err)).Inc()
+		v.metrics.store.WithLabelValues("report", sassafrastray.Outcome(err)).Inc()
 		args := []any{
 			"service", s.Rollout.Service, "to", s.Rollout.To, "state", s.Rollout.State, "share", s.Rollout.Share,
 			"reason", s.Reason, "revision", s.Revision,
--- a/internal/fleet/edge/listen.go
+++ b/internal/fleet/edge/listen.go
@@ -2,18 +2,16 @@
 
 import (
 	"context"
-	"net"
-	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"sassafrastray"
 	"sassafrastray/internal/fleet/directory"
+	"sassafrastray/internal/fleet/listener"
 	"sassafrastray/internal/fleet/mirror"
 	"sassafrastray/internal/fleet/neighbor"
 	"sassafrastray/internal/traffic/entry"
@@ -42,16 +40,8 @@
 	stopAccepting = 0.45
 	spareTime     = 700 * time.Millisecond
 	drainPoll     = 50 * time.Millisecond
-	closeTimeout  = 300 * time.Millisecond
 )
 
-// listener is one of the VM's servers.
-type listener struct {
-	name   string
-	ln     net.Listener
-	server *fasthttp.Server
-}
-
 // Run serves until ctx ends, then drains and returns. It returns an error if
 // the VM can't start.
 func (v *VM) Run(ctx context.Context) error {
@@ -59,14 +49,7 @@
 	if err != nil {
 		return err
 	}
-	failed := make(chan error, len(ls))
-	for _, l := range ls {
-		go func() {
-			if err := l.server.Serve(l.ln); err != nil {
-				failed <- errors.Wrapf(err, "%s listener", l.name)
-			}
-		}()
-	}
+	failed := ls.Serve()
 	stopHangups := make(chan struct{})
 	go v.hangups.Run(stopHangups)
 	v.loops.Add(2 + len(mirror.Followed))
@@ -89,40 +72,17 @@
 	return err
 }
 
-// listen opens all listeners before anything is served. The metrics may share
-// an address with nobody; a VM without them still serves.
-func (v *VM) listen() ([]listener, error) {
-	specs := []struct {
-		name    string
-		address netip.AddrPort
-		handler fasthttp.RequestHandler
-		needed  bool
-	}{
-		{"callers", v.opt.VM.Callers, v.handler.Handle, true},
-		{"inner", v.opt.VM.Inner, func(ctx *fasthttp.RequestCtx) { neighbor.Handle(ctx, v) }, true},
-		{"ready", v.opt.Ready, v.answerReady, true},
-		{"lookups", v.opt.Lookups, v.answerLookup, true},
-		{"metrics", v.opt.Metrics, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{})), false},
-	}
-	var ls []listener
-	for _, s := range specs {
-		if !s.address.IsValid() {
-			continue
-		}
-		ln, err := net.Listen("tcp", s.address.String())
-		if err != nil {
-			if !s.needed {
-				v.log.Warn("not listening", "listener", s.name, "error", err.Error())
-				continue
-			}
-			for _, l := range ls {
-				l.ln.Close()
-			}
-			return nil, errors.Wrapf(err, "%s listener", s.name)
-		}
-		ls = append(ls, listener{s.name, ln, v.server(s.handler)})
-	}
-	return ls, nil
+// listen opens the VM's listeners. A VM whose metrics can't be read still
+// serves.
+func (v *VM) listen() (*listener.Set, error) {
+	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{}))
+	return listener.Open([]listener.Spec{
+		{Name: "callers", Address: v.opt.VM.Callers, Server: v.server(v.handler.Handle)},
+		{Name: "inner", Address: v.opt.VM.Inner, Server: v.server(func(ctx *fasthttp.RequestCtx) { neighbor.Handle(ctx, v) })},
+		{Name: "ready", Address: v.opt.Ready, Server: v.server(v.answerReady)},
+		{Name: "lookups", Address: v.opt.Lookups, Server: v.server(v.answerLookup)},
+		{Name: "metrics", Address: v.opt.Metrics, Server: v.server(metrics), Optional: true},
+	}, v.log)
 }
 
 func (v *VM) server(h fasthttp.RequestHandler) *fasthttp.Server {
@@ -217,7 +177,7 @@
 
 // drain takes the VM out of the look-ups at once, serves those who still come,
 // and lets what is under way end.
-func (v *VM) drain(ls []listener) {
+func (v *VM) drain(ls *listener.Set) {
 	began := v.clock.Now()
 	end := began.Add(v.opt.Bounds.Grace - spareTime)
 	v.log.Info("draining", "until", end)
@@ -232,13 +192,9 @@
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		for _, l := range ls {
-			ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(end.Sub(v.clock.Now())))
-			if err := l.server.ShutdownWithContext(ctx); err != nil {
-				v.log.Warn("listener not shut down in time", "listener", l.name, "error", err.Error())
-			}
-			cancel()
-		}
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(end.Sub(v.clock.Now())))
+		defer cancel()
+		ls.Shutdown(ctx)
 	}()
 	for v.clock.Now().Before(end) {
 		select {
--- a/internal/fleet/vm/beat.go
+++ b/internal/fleet/vm/beat.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"sassafrastray"
 	"sassafrastray/internal/fleet/peer"
 	"sassafrastray/internal/limit/quota"
@@ -18,7 +16,7 @@
 func (v *VM) readList() {
 	v.spawn(func() {
 		vms, err := v.vms()
-		v.metrics.store.WithLabelValues("vms", outcome(err)).Inc()
+		v.metrics.store.WithLabelValues("vms", sassafrastray.Outcome(err)).Inc()
 		if err != nil {
 			return
 		}
@@ -161,18 +159,3 @@
 }
 
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
-
-// outcome names the outcome of a call for metrics.
-func outcome(err error) string {
-	switch {
-	case err == nil:
-		return "ok"
-	case errors.Is(err, sassafrastray.ErrConflict):
-		return "conflict"
-	case errors.Is(err, sassafrastray.ErrNotFound):
-		return "absent"
-	case errors.Is(err, sassafrastray.ErrUnknown):
-		return "unknown"
-	}
-	return "unavailable"
-}
--- a/internal/fleet/vm/config.go
+++ b/internal/fleet/vm/config.go
@@ -102,7 +102,7 @@
 		}
 		asked := v.clock.Now()
 		objects, revision, err := v.watch(prefix, after)
-		v.metrics.store.WithLabelValues("watch", outcome(err)).Inc()
+		v.metrics.store.WithLabelValues("watch", sassafrastray.Outcome(err)).Inc()
 		if err != nil || !take(objects, asked) {
 			v.rest(wait)
 			wait = min(2*wait, backoffMost)
@@ -174,7 +174,7 @@
 		ctx, cancel := context.WithTimeout(v.ctx, storeTimeout)
 		defer cancel()
 		o, err := v.platform.Get(ctx, d.Key())
-		v.metrics.store.WithLabelValues("get", outcome(err)).Inc()
+		v.metrics.store.WithLabelValues("get", sassafrastray.Outcome(err)).Inc()
 		return o.Value, err
 	}
 	if old := v.handler.Config(); old != nil {
--- a/internal/fleet/vm/place.go
+++ b/internal/fleet/vm/place.go
@@ -62,7 +62,7 @@
 	v.spawn(func() {
 		ctx, cancel := context.WithTimeout(v.ctx, storeTimeout)
 		defer cancel()
-		v.metrics.store.WithLabelValues(kind, outcome(call(ctx))).Inc()
+		v.metrics.store.WithLabelValues(kind, sassafrastray.Outcome(call(ctx))).Inc()
 	})
 }
 
--- a/internal/fleet/vm/serve.go
+++ b/internal/fleet/vm/serve.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"net"
-	"net/netip"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/fleet/listener"
 	"sassafrastray/internal/fleet/peer"
 	"sassafrastray/internal/limit/place"
 	"sassafrastray/internal/traffic/entry"
@@ -34,13 +32,6 @@
 	cutWait = 100 * time.Millisecond
 )
 
-// listener is one of the VM's servers.
-type listener struct {
-	name   string
-	ln     net.Listener
-	server *fasthttp.Server
-}
-
 // Run serves until ctx ends, then drains and returns. It returns an error if
 // the VM can't start.
 func (v *VM) Run(ctx context.Context) error {
@@ -48,14 +39,7 @@
 	if err != nil {
 		return err
 	}
-	failed := make(chan error, len(ls))
-	for _, l := range ls {
-		go func() {
-			if err := l.server.Serve(l.ln); err != nil {
-				failed <- errors.Wrapf(err, "%s listener", l.name)
-			}
-		}()
-	}
+	failed := ls.Serve()
 	stopHangups := make(chan struct{})
 	go v.hangups.Run(stopHangups)
 	v.loops.Add(3)
@@ -74,31 +58,14 @@
 	return err
 }
 
-// listen opens all listeners before anything is served, so that an address in
-// use is an error and not a VM that works in part.
-func (v *VM) listen() ([]listener, error) {
+// listen opens the VM's listeners.
+func (v *VM) listen() (*listener.Set, error) {
 	inner := peer.NewServer(v.self, peer.NewToken([]byte(v.set.Secret)), v, v.faults)
-	specs := []struct {
-		name    string
-		address netip.AddrPort
-		handler fasthttp.RequestHandler
-	}{
-		{"callers", v.set.Callers, v.handler.Handle},
-		{"inner", v.set.Inner, inner.Handle},
-		{"operations", v.set.Operations, v.operations()},
-	}
-	var ls []listener
-	for _, s := range specs {
-		ln, err := net.Listen("tcp", s.address.String())
-		if err != nil {
-			for _, l := range ls {
-				l.ln.Close()
-			}
-			return nil, errors.Wrapf(err, "%s listener", s.name)
-		}
-		ls = append(ls, listener{s.name, ln, v.server(s.handler)})
-	}
-	return ls, nil
+	return listener.Open([]listener.Spec{
+		{Name: "callers", Address: v.set.Callers, Server: v.server(v.handler.Handle)},
+		{Name: "inner", Address: v.set.Inner, Server: v.server(inner.Handle)},
+		{Name: "operations", Address: v.set.Operations, Server: v.server(v.operations())},
+	}, v.log)
 }
 
 // Forward answers a request that another VM accepted.
@@ -161,14 +128,10 @@
 	v.log.Warn("place not given back; it passes on when its record is old")
 }
 
-func (v *VM) shutdown(ls []listener) {
+func (v *VM) shutdown(ls *listener.Set) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseWait)
 	defer cancel()
-	for _, l := range ls {
-		if err := l.server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			v.log.Warn("listener not shut down in time", "listener", l.name, "error", err)
-		}
-	}
+	ls.Shutdown(ctx)
 	v.stop()
 	v.loops.Wait()
 	v.work.Release()
--- a/store.go
+++ b/store.go
@@ -56,3 +56,20 @@
 
 // MaxObject is the size of the largest value that the store holds, in bytes.
 const MaxObject = 1 << 20
+
+// Outcome names the outcome of a call to the store, for metrics.
+func Outcome(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, ErrConflict):
+		return "conflict"
+	case errors.Is(err, ErrNotFound):
+		return "absent"
+	case errors.Is(err, ErrCompacted):
+		return "compacted"
+	case errors.Is(err, ErrUnknown):
+		return "unknown"
+	}
+	return "unavailable"
+}
