Forget VMs that are gone for good, and size the reserve of retries by the fleet

Cause, from reading: registrations of VMs that never come back stayed in the store and in every VM's list; and the reserve of retries was divided by twice the failure domains, which with 61 VMs in six of them adds up to four times the bound. Change: a VM that was silent for two minutes leaves the lists, and the VM that leads removes its registration; the reserve follows the VMs that are known. serve is split, the end of a try is described in one place. Ruled out: removal at SIGTERM, after which most VMs start again.

--- a/internal/fleet/edge/beat.go
+++ b/internal/fleet/edge/beat.go
@@ -18,10 +18,6 @@
 // another VM does not reach the store.
 const doubtEvery = 2 * time.Second
 
-// gone is how long a VM has to be silent before its registration is removed,
-// and its part of the quotas divided among the others.
-const gone = 2 * time.Minute
-
 // beatAll sends a heartbeat to all known VMs, and to the seeds while none is
 // known.
 func (v *VM) beatAll(now time.Time) {
@@ -130,6 +126,7 @@
 	if v.beats[b.VM.Name] == nil {
 		v.log.Info("VM heard of", "vm", b.VM.Name, "domain", b.VM.Domain, "ready", b.Ready)
 	}
+	v.known.heard(b.VM.Name, now)
 	kept := *b
 	kept.Fleet = nil
 	v.beats[b.VM.Name] = &kept
@@ -142,18 +139,22 @@
 	}
 }
 
-// learn takes in VMs that another VM or the store knows.
+// learn takes in VMs that another VM or the store knows, and forgets those that
+// are gone for good.
 func (v *VM) learn(vms []sassafrastray.VM, now time.Time) {
 	if len(vms) == 0 {
 		return
 	}
-	all := slices.Concat(v.members.Known(), vms)
+	all := v.known.left(slices.Concat(v.members.Known(), vms), now)
 	v.members.List(all, now)
 	var others []sassafrastray.VMName
-	for _, m := range v.members.Known() {
-		others = append(others, m.Name)
+	for _, m := range all {
+		if m.Name != v.self.Name {
+			others = append(others, m.Name)
+		}
 	}
 	v.places.do(func(t *placement.Table, _ time.Time) { t.Fleet(others) })
+	v.retries.bound(v.retryReserve(len(others)))
 	v.quotas.do(func(q *allotment.Book, _ time.Time) {
 		for _, name := range others {
 			q.Known(name)
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -138,6 +138,7 @@
 		places   *places
 		quotas   *quotas
 		rollouts *rollouts
+		retries  *retries
 		splits   *split.Splitter
 		work     *ants.Pool
 		tasks    chan task
@@ -160,6 +161,7 @@
 		// snapshot is the configuration that traffic has yet to get.
 		snapshot *ingress.Snapshot
 		members  *member.Table
+		known    *known
 		beats    map[sassafrastray.VMName]*neighbor.Beat
 		due      map[string]time.Time
 		ticked   time.Time
@@ -195,6 +197,7 @@
 	}
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.metrics = newMetrics(v.registry)
+	v.known = newKnown()
 	v.members = member.New(opt.VM, memberOptions(), v.random())
 	v.build()
 	return v, nil
@@ -226,24 +229,29 @@
 		Fleet: vmsEach * len(v.opt.Regions), Window: v.opt.Bounds.QuotaWindow, Over: v.opt.Bounds.QuotaOver, Reserve: v.opt.Bounds.QuotaReserve,
 	})}
 	v.rollouts = &rollouts{clock: v.clock, desk: canary.New(v.opt.Bounds.Exposure)}
+	v.retries = &retries{clock: v.times, policy: retry.New(v.random(), v.retryOptions())}
 	v.handler = ingress.New(ingress.Deps{
 		Clock: v.times, Log: v.log, Dialect: v.opt.Dialect, Region: v.opt.Region, Pool: v.pool,
 		Placement: v.places, Quotas: v.quotas, Rollouts: v.rollouts, Splits: v.splits, Hangups: v.hangups,
-		Retries: &retries{clock: v.times, policy: retry.New(v.random(), v.retryOptions())},
+		Retries: v.retries,
 		Metrics: entry.NewMetrics(v.registry),
 	})
 }
 
-// retryOptions divides the fleet's bound on retries among the VMs.
+// retryOptions are the VM's part of the fleet's bound on retries.
 func (v *VM) retryOptions() retry.Options {
-	fleet := max(1, vmsEach*len(v.opt.Regions))
 	return retry.Options{
-		Ratio:    retryPart * v.opt.Bounds.RetryRatio,
-		Reserve:  max(1, retryPart*float64(v.opt.Bounds.RetryReserve)/float64(fleet)),
-		Attempts: mostTries, Pause: retryPause,
+		Ratio: retryPart * v.opt.Bounds.RetryRatio, Reserve: v.retryReserve(0), Attempts: mostTries, Pause: retryPause,
 	}
 }
 
+// retryReserve divides the fleet's reserve of retries among the VMs. All VMs of
+// a large fleet together may have a few more than that in their first second.
+func (v *VM) retryReserve(others int) float64 {
+	fleet := max(1, vmsEach*len(v.opt.Regions), others+1)
+	return max(1, retryPart*float64(v.opt.Bounds.RetryReserve)/float64(fleet))
+}
+
 // post hands a task to the control goroutine. It reports false if the VM is
 // stopping.
 func (v *VM) post(t task) bool {
--- a/internal/fleet/edge/feed.go
+++ b/internal/fleet/edge/feed.go
@@ -320,6 +320,28 @@
 				}
 			}
 			v.learn(vms, now)
+			v.retire(vms, now)
 		})
 	})
 }
+
+// retire removes the registrations of VMs that are gone for good, if this VM
+// leads.
+func (v *VM) retire(vms []sassafrastray.VM, now time.Time) {
+	for _, vm := range vms {
+		if vm.Name == v.self.Name || !v.known.gone(vm.Name, now) || !v.leads(now) {
+			continue
+		}
+		v.spawn(func() {
+			ctx, cancel := context.WithTimeout(v.ctx, writeTimeout)
+			defer cancel()
+			err := v.feed.Retire(ctx, vm.Name)
+			v.metrics.store.WithLabelValues("retire", sassafrastray.Outcome(err)).Inc()
+			if err != nil {
+				v.log.Warn("registration of a VM that is gone not removed", "vm", vm.Name, "error", err.Error())
+				return
+			}
+			v.log.Info("registration of a VM that is gone removed", "vm", vm.Name)
+		})
+	}
+}
--- a/internal/fleet/edge/guard.go
+++ b/internal/fleet/edge/guard.go
@@ -94,6 +94,12 @@
 	r.policy.Request(s)
 }
 
+func (r *retries) bound(reserve float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.policy.Bound(reserve)
+}
+
 // Affords reports whether the service's budget has a token for a retry.
 func (r *retries) Affords(s sassafrastray.ServiceName) bool {
 	r.mu.Lock()
--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -222,9 +222,6 @@
 	}
 }
 
-// Gone forgets a VM that will not come back.
-func (b *Book) Gone(vm sassafrastray.VMName) { delete(b.peers, vm) }
-
 // Tell returns what teams ask of this VM, for the next heartbeat.
 func (b *Book) Tell(now time.Time) Uses {
 	out := Uses{}
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -75,47 +75,45 @@
 			h.deliver(q, a)
 			return nil
 		}
-		next := retry.Attempt{
-			Service: q.service, Number: q.tries, Idempotent: q.route.Idempotent, Deadline: q.deadline,
-			Most: q.route.Attempts, Exclude: exclude, Result: sassafrastray.Unknown, Reason: sassafrastray.ReasonBroken,
-		}
-		if r != nil {
-			next.Result, next.Reason = r.result, r.reason
-			next.Unsent = a != nil && !a.out.Sent
-			maybe = maybe || r.result != sassafrastray.NotRun
-			if maybe {
-				// An earlier try may have run, whatever became of the last.
-				r.result = sassafrastray.Unknown
-				next.Result = sassafrastray.Unknown
-			}
-		} else {
-			maybe = true
+		if r == nil {
 			failure = a
 		}
-		if a != nil {
-			next.Backend = a.choice.Server.Name
-		}
-		if next.Unsent {
-			// Nobody got the request, so it is no try of a backend server.
-			next.Most = 0
+		// An earlier try may have run, whatever became of the last.
+		maybe = maybe || r == nil || r.result != sassafrastray.NotRun
+		if r != nil && maybe {
+			r.result = sassafrastray.Unknown
 		}
-		d := h.Retries.Next(next)
+		d := h.Retries.Next(h.outcome(q, a, r, exclude))
 		if !d.Retry || !q.repeatable() || q.isGone() {
 			h.release(held)
 			return h.giveUp(q, failure, r)
 		}
-		if failure != nil && failure != a {
-			failure = nil
-		}
 		exclude = d.Exclude
 		h.Metrics.Retries.WithLabelValues(string(q.service)).Inc()
-		if q.tries == 1 {
-			h.Log.Debug("retry", "request", q.id, "service", q.service, "after", next.Reason, "result", next.Result)
-		}
 		time.Sleep(d.Pause)
 	}
 }
 
+// outcome describes how a try ended to those who decide on the next. A failure
+// that a server answered counts as broken: another server may not fail.
+func (h *Handler) outcome(q *request, a *attempt, r *refusal, exclude []sassafrastray.BackendName) retry.Attempt {
+	end := retry.Attempt{
+		Service: q.service, Number: q.tries, Idempotent: q.route.Idempotent, Deadline: q.deadline,
+		Most: q.route.Attempts, Exclude: exclude, Result: sassafrastray.Unknown, Reason: sassafrastray.ReasonBroken,
+	}
+	if r != nil {
+		end.Result, end.Reason = r.result, r.reason
+	}
+	if a != nil {
+		end.Backend = a.choice.Server.Name
+		if r != nil && !a.out.Sent {
+			// Nobody got the request, so it is no try of a backend server.
+			end.Unsent, end.Most = true, 0
+		}
+	}
+	return end
+}
+
 // giveUp answers with a failure of a backend server, if there is one, or with
 // the refusal.
 func (h *Handler) giveUp(q *request, failure *attempt, r *refusal) *refusal {
--- a/internal/traffic/retry/retry.go
+++ b/internal/traffic/retry/retry.go
@@ -88,6 +88,9 @@
 	return &Policy{opt: opt, rng: rng, budgets: make(map[sassafrastray.ServiceName]float64)}
 }
 
+// Bound replaces the reserve of each service.
+func (p *Policy) Bound(reserve float64) { p.opt.Reserve = reserve }
+
 // Request counts a request that is tried for the first time.
 func (p *Policy) Request(s sassafrastray.ServiceName) {
 	p.budgets[s] = min(p.opt.Reserve, p.tokens(s)+p.opt.Ratio)
--- a/internal/traffic/retry/retry_test.go
+++ b/internal/traffic/retry/retry_test.go
@@ -74,3 +74,22 @@
 		t.Fatalf("%+v is refused: %s", a, d.Reason)
 	}
 }
+
+// TestBound checks that a smaller reserve holds for services that had more.
+func TestBound(t *testing.T) {
+	p := New(rand.New(rand.NewPCG(1, 1)), Options{Ratio: 0.1, Reserve: 10, Attempts: 3})
+	p.Request("s")
+	p.Bound(1)
+	p.Request("s")
+	now := time.Unix(0, 0)
+	a := Attempt{
+		Service: "s", Number: 1, Idempotent: true, Result: sassafrastray.Unknown,
+		Reason: sassafrastray.ReasonBroken, Deadline: now.Add(time.Second),
+	}
+	if d := p.Next(a, now); !d.Retry {
+		t.Errorf("first retry: %+v", d)
+	}
+	if d := p.Next(a, now); d.Retry || d.Reason != Budget {
+		t.Errorf("second retry: %+v", d)
+	}
+}
