Keep the headers of one connection in one place

Cause: entry and ingress each held the list of headers that are not passed on, and the comment on a log handler said something it does not do. Change: internal/traffic/hop is used by both. No behaviour changes. Ruled out for now: one package for the control goroutines of edge and vm.

--- a/internal/operator/logbook/logbook.go
+++ b/internal/operator/logbook/logbook.go
@@ -112,8 +112,8 @@
 	}
 }
 
-// Enabled tells whether a record of the level would be written now. It takes
-// the record's place among those of the second.
+// Enabled tells whether records of the level are written at all. Whether the
+// second still has room for one is decided when it comes.
 func (l *limiter) Enabled(ctx context.Context, level slog.Level) bool {
 	return l.Handler.Enabled(ctx, level)
 }
--- a/internal/traffic/entry/header.go
+++ b/internal/traffic/entry/header.go
@@ -7,21 +7,13 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray/internal/fleet/peer"
+	"sassafrastray/internal/traffic/hop"
 )
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	fasthttp.HeaderConnection, "Keep-Alive", "Proxy-Connection", fasthttp.HeaderTE,
-	fasthttp.HeaderTrailer, fasthttp.HeaderUpgrade, fasthttp.HeaderExpect,
-	fasthttp.HeaderProxyAuthenticate, fasthttp.HeaderProxyAuthorization,
-}
-
 // cleanHeader removes what belongs to the connection that a request came on,
 // and the headers of the inner protocol.
 func cleanHeader(h *fasthttp.RequestHeader) {
-	for _, n := range hopHeaders {
-		h.Del(n)
-	}
+	hop.Clean(h)
 	for _, n := range innerHeaders(h) {
 		h.Del(n)
 	}
@@ -40,9 +32,7 @@
 // cleanAnswer removes what belongs to the connection that an answer came on,
 // and what the system says itself.
 func cleanAnswer(h *fasthttp.ResponseHeader) {
-	for _, n := range hopHeaders {
-		h.Del(n)
-	}
+	hop.Clean(h)
 	for _, n := range []string{shedHeader, drainHeader, loadHeader, reasonHeader, resultHeader, peer.BackendHeader} {
 		h.Del(n)
 	}
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -12,6 +12,7 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/rollout/canary"
+	"sassafrastray/internal/traffic/hop"
 	"sassafrastray/internal/traffic/placement"
 	"sassafrastray/internal/traffic/retry"
 	"sassafrastray/internal/traffic/upstream"
@@ -36,13 +37,6 @@
 	largeAnswer = 256 << 10
 )
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	fasthttp.HeaderConnection, "Keep-Alive", "Proxy-Connection", fasthttp.HeaderTE,
-	fasthttp.HeaderTrailer, fasthttp.HeaderUpgrade, fasthttp.HeaderExpect,
-	fasthttp.HeaderProxyAuthenticate, fasthttp.HeaderProxyAuthorization,
-}
-
 // attempt is one try at a backend server.
 type attempt struct {
 	choice placement.Choice
@@ -261,9 +255,7 @@
 			d.Del(name)
 		}
 	}
-	for _, n := range hopHeaders {
-		d.Del(n)
-	}
+	hop.Clean(d)
 }
 
 // failed tells what an exchange without an answer means for its request.
@@ -377,9 +369,7 @@
 	out := &q.ctx.Response
 	closing := out.ConnectionClose()
 	a.resp.Header.CopyTo(&out.Header)
-	for _, n := range hopHeaders {
-		out.Header.Del(n)
-	}
+	hop.Clean(&out.Header)
 	out.Header.Del(h.Dialect.Load)
 	h.Metrics.Bytes.WithLabelValues(string(q.service)).Add(float64(len(a.body)))
 	skip := a.resp.SkipBody
