Let parts of a rate rest on demand that the others have heard of

Cause: TestSmallDemandIsAdmitted was red (2 of 327, one in a thousand allowed). The stateful test got an event more, a pause in which all parts fall unused, and then found another fault at once: 358 requests within 5 s, bound 330. Each VM took the demand that it had just told for known to the others, so after a pause all of them took large parts before they had heard of each other.

Ruled out: waiting for a heartbeat from every other VM before a part grows (8.5 in a thousand at 20/s, 0.5 for a team that moves). A larger part of the reserve for everybody: it also counts for teams that press on their rate.

Change: a part grows only on demand told before half of the others spoke last; while all VMs together have had less than 0.8 of what a team may have, each admits a few requests beyond its part; a VM tells of a rise from half of its part on, not only when it refuses.

A team of 5/s is still above one in a thousand.

--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -7,7 +7,8 @@
 // admit the first requests at once. For each VM that is not heard of, whether
 // it is dead or cut off, an even part stays reserved; a VM that is cut off
 // gives itself no more than that. A VM takes a larger part only after the
-// others have had the time to hear of the demand that it rests on.
+// others have had the time to hear of the demand that it rests on, and while
+// little of what a team may have is used, each VM admits a few requests more.
 //
 // What a team may have in any window is its rate over the window and its
 // burst. A VM admits a request if it has admitted fewer than its part of that
@@ -19,6 +20,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"sassafrastray"
@@ -53,10 +55,14 @@
 	// chance is how many standard deviations of its count a rise must have.
 	chance = 2
 
-	// grown is the factor over the told demand from which a VM that refuses
-	// requests asks for a heartbeat at once.
+	// grown is the factor over the told demand from which a VM that nears its
+	// part asks for a heartbeat at once.
 	grown = 1.2
 
+	// nearly is the part of what it may admit from which a VM does so before
+	// it refuses any.
+	nearly = 0.5
+
 	// overlap is the part of a team's due by which the VMs' parts of it may
 	// overlap while they change within a window; what the team may have
 	// beyond its due has to cover that. reservePart of the reserve comes on
@@ -64,6 +70,17 @@
 	overlap     = 0.13
 	reservePart = 0.4
 
+	// calmPart is the part of what a team may have below which the VMs admit
+	// spare requests beyond their parts; together those are at most sparePart
+	// of the reserve. They serve the few requests that chance brings to one VM.
+	calmPart  = 0.8
+	sparePart = 1.2
+
+	// confirming is the part of the other VMs from which a heartbeat has to
+	// arrive after this VM told of a demand, before its part rests on it: the
+	// others shrink theirs only once they have heard of it.
+	confirming = 0.5
+
 	// young is how long after its start a VM takes the fleet to be as large
 	// as its options say, however few VMs it knows.
 	young = 7 * time.Second
@@ -124,8 +141,10 @@
 		opt   Options
 		teams map[sassafrastray.TeamName]*team
 		peers map[sassafrastray.VMName]*peer
-		// told is what the others can have heard of this VM's demand.
+		// told is what the latest heartbeat said of this VM's demand; tells has
+		// it and the earlier ones that are not confirmed, the oldest first.
 		told  Uses
+		tells []tell
 		short bool
 		// began is when the first part was computed.
 		began time.Time
@@ -133,6 +152,12 @@
 		started bool
 	}
 
+	// tell is what a heartbeat said.
+	tell struct {
+		at   time.Time
+		uses Uses
+	}
+
 	peer struct {
 		heard time.Time
 		uses  Uses
@@ -147,9 +172,13 @@
 		rising, falling float64
 		counted         time.Time
 		// share is the VM's part, room how many requests it may have within
-		// the window; others is what the other VMs have had.
+		// the window, and spare how many more while all VMs together have had
+		// fewer than calm; others is what the other VMs have had.
 		share  float64
 		room   float64
+		spare  int
+		calm   float64
+		others int
 		age    time.Duration
 		shared time.Time
 	}
@@ -234,6 +263,7 @@
 		}
 	}
 	b.told, b.short = out, false
+	b.tells = append(b.tells, tell{now, out})
 	return out
 }
 
@@ -252,15 +282,15 @@
 		b.divide(t, name, now)
 	}
 	v := Verdict{Share: t.share, Age: t.age}
-	room := max(1, int(t.room))
+	room := t.most()
+	if t.demand() > grown*b.told[name].Demand && float64(len(t.admitted)) >= nearly*float64(room) {
+		b.short = true
+	}
 	if len(t.admitted) < room {
 		t.admitted = append(t.admitted, now)
 		v.OK = true
 		return v
 	}
-	if t.demand() > grown*b.told[name].Demand {
-		b.short = true
-	}
 	// The oldest requests leave the window first.
 	v.Wait = t.admitted[len(t.admitted)-room].Add(b.opt.Window).Sub(now)
 	if v.Wait <= longestDelay {
@@ -272,8 +302,8 @@
 	return v
 }
 
-// Short tells whether a team was refused whose demand the others don't know
-// yet, so that a heartbeat should go out at once.
+// Short tells whether a team nears its part or was refused whose demand the
+// others don't know yet, so that a heartbeat should go out at once.
 func (b *Book) Short() bool { return b.short }
 
 // Refund takes back the latest request, which reached no backend server.
@@ -288,7 +318,7 @@
 	t.shared, t.age = now, 0
 	due := t.rate*b.opt.Window.Seconds() + t.burst
 	most := (1+b.opt.Over-overlap)*due + reservePart*float64(b.opt.Reserve)
-	own := min(t.demand(), b.told[name].Demand)
+	own := min(t.demand(), b.confirmed(now)[name].Demand)
 	all, others, heard, cut := own, 0, 1, 0
 	for vm, p := range b.peers {
 		switch age := now.Sub(p.heard); {
@@ -314,9 +344,46 @@
 	part := evenPart/vms + (1-evenPart)*(own+slight)/(all+slight*vms)
 	reach := vms / (vms + float64(cut))
 	t.share = reach * part
+	t.others, t.calm = others, calmPart*most*reach
+	t.spare = int(sparePart * float64(b.opt.Reserve) / vms)
 	t.room = min(t.share*most, max(evenLeast*reach*most/vms, reach*most-float64(others)))
 }
 
+// most returns how many requests the VM may have admitted within the window.
+func (t *team) most() int {
+	n := max(1, int(t.room))
+	if float64(t.others+len(t.admitted)) < t.calm {
+		n += t.spare
+	}
+	return n
+}
+
+// confirmed returns the newest demand that was told before the part confirming
+// of the other VMs spoke last. A VM that a cut has parted from most others keeps
+// to what they knew before.
+func (b *Book) confirmed(now time.Time) Uses {
+	var heard []time.Time
+	for _, p := range b.peers {
+		if now.Sub(p.heard) <= silent {
+			heard = append(heard, p.heard)
+		}
+	}
+	if len(heard) == 0 {
+		return b.told
+	}
+	slices.SortFunc(heard, time.Time.Compare)
+	since := heard[int(confirming*float64(len(heard)-1))]
+	n := 0
+	for n+1 < len(b.tells) && !b.tells[n+1].at.After(since) {
+		n++
+	}
+	b.tells = b.tells[n:]
+	if len(b.tells) == 0 {
+		return Uses{}
+	}
+	return b.tells[0].uses
+}
+
 // forget drops the requests that have left the window.
 func (t *team) forget(now time.Time, window time.Duration) {
 	n := 0
--- a/internal/limit/allotment/allotment_test.go
+++ b/internal/limit/allotment/allotment_test.go
@@ -149,7 +149,7 @@
 		for range rapid.IntRange(1, 5).Draw(t, "events") {
 			w.run(time.Duration(rapid.IntRange(500, 9000).Draw(t, "for"))*time.Millisecond, press*rate, weight)
 			i := rapid.IntRange(0, len(w.names)-1).Draw(t, "vm")
-			switch rapid.SampledFrom([]string{"cut", "heal", "kill", "start", "move", "suspend"}).Draw(t, "event") {
+			switch rapid.SampledFrom([]string{"cut", "heal", "kill", "start", "move", "suspend", "idle"}).Draw(t, "event") {
 			case "cut":
 				w.cut[w.names[i]] = rapid.IntRange(1, 3).Draw(t, "group")
 			case "heal":
@@ -166,6 +166,9 @@
 				weight[i] *= 0.2
 			case "suspend":
 				w.books[w.names[i]].Suspended(w.now)
+			case "idle":
+				// All parts are unused when the team presses again.
+				w.run(window+time.Second, 0, weight)
 			}
 		}
 		w.run(5*time.Second, press*rate, weight)
@@ -239,18 +242,24 @@
 	}
 }
 
+// check counts over as many worlds as it takes to have several thousand
+// requests, so that the share of refusals is more than chance.
 func (d demand) check(t *testing.T) {
-	w := newWorld(11, d.rate, int(d.rate), 5)
-	w.run(9*time.Second, 0.625*d.rate, d.shapes[0])
-	w.asked, w.refused = 0, 0
-	for range 3 {
-		for _, shape := range d.shapes {
-			w.run(8*time.Second, 0.625*d.rate, shape)
+	asked, refused := 0, 0
+	for seed := uint64(5); asked < 8000; seed++ {
+		w := newWorld(11, d.rate, int(d.rate), seed)
+		w.run(9*time.Second, 0.625*d.rate, d.shapes[0])
+		w.asked, w.refused = 0, 0
+		for range 3 {
+			for _, shape := range d.shapes {
+				w.run(8*time.Second, 0.625*d.rate, shape)
+			}
 		}
+		asked, refused = asked+w.asked, refused+w.refused
 	}
-	t.Logf("%d of %d refused", w.refused, w.asked)
-	if w.refused*1000 > w.asked {
-		t.Errorf("%d of %d refused, want one in a thousand", w.refused, w.asked)
+	t.Logf("%d of %d refused", refused, asked)
+	if refused*1000 > asked {
+		t.Errorf("%d of %d refused, want one in a thousand", refused, asked)
 	}
 }
 
