Explain a request from the lines of all VMs

A request had one line, about its last try only; what a VM believed of servers and peers had no line; a flood of successes could fill the log's queue and push out failures; what was left out was counted nowhere; a reader that stopped reading held up the end of the process.

Ruled out: ordering the lines by time, since clocks jump and differ; the lines now have the VM, its run and their number, and a story puts a line after the line of another VM that it rests on (the state of a rollout, a copy of the store, the first VM of a request).

New lines: a failed try, a server left out and used again, the names of servers that come and go, a VM not heard of and heard again, the start. A choice tells how many servers were weighed and which came second; a refusal names the best server that was too full. sassafrastray explain ID [FILE...] -o text|json.

--- a/cmd/sassafrastray/main.go
+++ b/cmd/sassafrastray/main.go
@@ -12,6 +12,7 @@
 type (
 	// cli is the command line; each subcommand is in a file of its own.
 	cli struct {
+		Explain explainCmd `cmd:"" help:"Explain a request from log lines."`
 		Check   checkCmd   `cmd:"" help:"Check operators' files."`
 		Serve   serveCmd   `cmd:"" help:"Run one entry VM."`
 		Steer   steerCmd   `cmd:"" help:"Run one entry VM on the platform."`
--- a/cmd/sassafrastray/serve.go
+++ b/cmd/sassafrastray/serve.go
@@ -7,10 +7,12 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"sassafrastray"
 	"sassafrastray/internal/fleet/vm"
 	"sassafrastray/internal/object/store"
+	"sassafrastray/internal/operator/logbook"
 	"sassafrastray/internal/operator/settings"
 )
 
@@ -25,8 +27,14 @@
 its settings file. On SIGTERM it leaves the look-ups, finishes the requests
 under way and exits.`
 
-// gcPercent lets the heap grow to five times of what is in use.
-const gcPercent = 400
+const (
+	// gcPercent lets the heap grow to five times of what is in use.
+	gcPercent = 400
+
+	// serveLines is how many log lines of each level a VM writes in a second,
+	// several times what it writes under the load of its capacity tests.
+	serveLines = 1000
+)
 
 // Help returns the text that --help shows.
 func (serveCmd) Help() string { return serveUsage }
@@ -40,7 +48,13 @@
 	// A VM holds little, so that the collector's usual pace would run it
 	// several times a second for a few megabytes.
 	debug.SetGCPercent(gcPercent)
-	log := slog.New(handler(set.Log, std))
+	format := logbook.JSON
+	if set.Log.Format == settings.Text {
+		format = logbook.Text
+	}
+	book := logbook.New(std.err, format)
+	defer book.Close()
+	log := slog.New(book.Handler(set.Log.Level, serveLines)).With("vm", set.Name, "run", time.Now().UnixMilli())
 	platform := store.New(set.Store, set.Domain, string(set.Name))
 	defer platform.Close()
 	v, err := vm.New(set, platform, sassafrastray.SystemClock{}, log)
@@ -51,11 +65,3 @@
 	defer stop()
 	return v.Run(ctx)
 }
-
-func handler(l settings.Log, std *streams) slog.Handler {
-	opt := &slog.HandlerOptions{Level: l.Level}
-	if l.Format == settings.Text {
-		return slog.NewTextHandler(std.err, opt)
-	}
-	return slog.NewJSONHandler(std.err, opt)
-}
--- a/cmd/sassafrastray/steer.go
+++ b/cmd/sassafrastray/steer.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -61,9 +62,10 @@
 	if set.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(set.Memory)))
 	}
-	book := logbook.New(std.out)
+	book := logbook.New(std.out, logbook.JSON)
 	defer book.Close()
-	log := slog.New(book.Handler(c.Level, c.Lines))
+	log := slog.New(book.Handler(c.Level, c.Lines)).With("vm", set.VM.Name, "run", time.Now().UnixMilli())
+	log.Info("starting", "version", version, "settings", path, "memory", set.Memory, "store", set.Store, "seeds", len(set.Seeds))
 	feed := platform.New(set.Store)
 	defer feed.Close()
 	v, err := edge.New(c.options(set), feed, sassafrastray.NewBootClock(), sassafrastray.SystemClock{}, log)
@@ -109,7 +111,7 @@
 				log.Error("settings not read again; the old ones stay", "error", err.Error())
 				continue
 			}
-			log.Info("settings read again", "vm", set.VM.Name)
+			log.Info("settings read again", "named", set.VM.Name)
 		}
 	}
 }
--- a/internal/fleet/edge/beat.go
+++ b/internal/fleet/edge/beat.go
@@ -124,7 +124,7 @@
 		return
 	}
 	if v.beats[b.VM.Name] == nil {
-		v.log.Info("VM heard of", "vm", b.VM.Name, "domain", b.VM.Domain, "ready", b.Ready)
+		v.log.Info("VM heard of", "peer", b.VM.Name, "domain", b.VM.Domain, "ready", b.Ready, "config", b.Config)
 	}
 	v.known.heard(b.VM.Name, now)
 	kept := *b
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -163,9 +163,12 @@
 		members  *member.Table
 		known    *known
 		beats    map[sassafrastray.VMName]*neighbor.Beat
-		due      map[string]time.Time
-		ticked   time.Time
-		copying  bool
+		// silent are the VMs that were heard of and then were not.
+		silent  map[sassafrastray.VMName]bool
+		servers roster
+		due     map[string]time.Time
+		ticked  time.Time
+		copying bool
 		// behind is since when another VM has known more of the store.
 		behind   time.Time
 		writing  map[sassafrastray.ServiceName]time.Time
@@ -193,7 +196,7 @@
 		self: opt.VM, inc: sassafrastray.Incarnation(now.UnixNano()), mirror: mirror.New(),
 		beats: make(map[sassafrastray.VMName]*neighbor.Beat), due: make(map[string]time.Time), ticked: now,
 		writing:  make(map[sassafrastray.ServiceName]time.Time),
-		distance: make(map[sassafrastray.RegionName]time.Duration),
+		distance: make(map[sassafrastray.RegionName]time.Duration), silent: make(map[sassafrastray.VMName]bool),
 	}
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.metrics = newMetrics(v.registry)
@@ -307,7 +310,13 @@
 	}
 	v.ticked = now
 	v.changed(v.mirror.Tick(now), now)
-	v.places.tick()
+	for _, e := range v.places.tick() {
+		if e.LeftOut > 0 {
+			v.log.Warn("backend server left out", "backend", e.Server, "service", e.Service, "end", e.End, "for", e.LeftOut)
+		} else {
+			v.log.Info("backend server used again", "backend", e.Server, "service", e.Service)
+		}
+	}
 	v.leadRollouts(now)
 	if short := v.quotas.short(); short && v.every("short", shortEvery, now) || v.every("beat", beatEvery, now) {
 		v.beatAll(now)
--- a/internal/fleet/edge/feed.go
+++ b/internal/fleet/edge/feed.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -152,7 +154,9 @@
 	}
 	if c.Backends || c.Evacuations {
 		backends, evacuated := v.mirror.Backends(), v.mirror.Evacuated()
-		v.log.Info("backend servers changed", "count", len(backends), "evacuated", len(evacuated),
+		d := v.servers.update(backends)
+		v.log.Info("backend servers changed", "count", len(backends), "added", d.added, "removed", d.removed,
+			"leaving", d.leaving, "evacuated", slices.Sorted(maps.Keys(evacuated)),
 			"revision", v.mirror.Revision(sassafrastray.TopicBackends))
 		v.places.do(func(t *placement.Table, now time.Time) { t.Update(backends, evacuated, now) })
 	}
@@ -338,10 +342,10 @@
 			err := v.feed.Retire(ctx, vm.Name)
 			v.metrics.store.WithLabelValues("retire", sassafrastray.Outcome(err)).Inc()
 			if err != nil {
-				v.log.Warn("registration of a VM that is gone not removed", "vm", vm.Name, "error", err.Error())
+				v.log.Warn("registration of a VM that is gone not removed", "peer", vm.Name, "error", err.Error())
 				return
 			}
-			v.log.Info("registration of a VM that is gone removed", "vm", vm.Name)
+			v.log.Info("registration of a VM that is gone removed", "peer", vm.Name)
 		})
 	}
 }
--- a/internal/fleet/edge/guard.go
+++ b/internal/fleet/edge/guard.go
@@ -58,7 +58,14 @@
 	f(p.table, p.clock.Now())
 }
 
-func (p *places) tick() { p.do(func(t *placement.Table, now time.Time) { t.Tick(now) }) }
+// tick moves time on and returns what happened to servers since the last tick.
+func (p *places) tick() (events []placement.Event) {
+	p.do(func(t *placement.Table, now time.Time) {
+		t.Tick(now)
+		events = t.Events()
+	})
+	return events
+}
 
 // Take admits a request of the team, or tells when it would be.
 func (q *quotas) Take(team sassafrastray.TeamName) allotment.Verdict {
--- a/internal/fleet/edge/listen.go
+++ b/internal/fleet/edge/listen.go
@@ -58,7 +58,7 @@
 	for _, t := range mirror.Followed {
 		go v.follow(t)
 	}
-	v.log.Info("serving", "vm", v.opt.VM.Name, "domain", v.opt.VM.Domain, "callers", v.opt.VM.Callers, "inner", v.opt.VM.Inner)
+	v.log.Info("serving", "domain", v.opt.VM.Domain, "callers", v.opt.VM.Callers, "inner", v.opt.VM.Inner)
 	select {
 	case <-ctx.Done():
 		v.drain(ls)
@@ -68,7 +68,7 @@
 	v.loops.Wait()
 	close(stopHangups)
 	v.work.Release()
-	v.log.Info("stopped", "vm", v.opt.VM.Name)
+	v.log.Info("stopped")
 	return err
 }
 
@@ -164,6 +164,14 @@
 	}
 	for _, m := range v.members.View(now) {
 		b := v.beats[m.VM.Name]
+		if b != nil && v.silent[m.VM.Name] != m.Suspect {
+			v.silent[m.VM.Name] = m.Suspect
+			if m.Suspect {
+				v.log.Warn("VM not heard of any more", "peer", m.VM.Name, "domain", m.VM.Domain)
+			} else {
+				v.log.Info("VM heard of again", "peer", m.VM.Name, "domain", m.VM.Domain, "config", b.Config)
+			}
+		}
 		if m.VM.State != sassafrastray.Live || b == nil {
 			continue
 		}
--- a/internal/fleet/vm/serve.go
+++ b/internal/fleet/vm/serve.go
@@ -46,7 +46,7 @@
 	go v.control()
 	go v.watchConfig()
 	go v.watchMoves()
-	v.log.Info("serving", "vm", v.self.Name, "domain", v.self.Domain, "callers", v.self.Callers,
+	v.log.Info("serving", "domain", v.self.Domain, "callers", v.self.Callers,
 		"inner", v.self.Inner, "operations", v.set.Operations)
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/operator/trace/cause.go
@@ -0,0 +1,138 @@
+package trace
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// cause says in a sentence or two why the request ended as it did.
+func cause(s *Story) string {
+	end := s.end()
+	if end == nil {
+		return "The line about the request's end is missing: it was left out or lost, or the VM died."
+	}
+	if end.Message == answered {
+		return fmt.Sprintf("Answered with status %d by %s after %d tries in %v.%s",
+			end.number("status"), end.text("backend"), end.number("tries"), end.duration("took").Round(time.Millisecond), s.earlier())
+	}
+	parts := []string{end.refusal(s.backend())}
+	if s.has(away) {
+		parts = append(parts, "The VM did not reach the store, so what it knew of backend servers and teams may have been old.")
+	}
+	if s.has(still) && s.Steps[0].Message == still {
+		parts = append(parts, "The VM had been suspended.")
+	}
+	for _, step := range s.Steps {
+		if step.Role != Later {
+			continue
+		}
+		switch name := end.text("backend"); {
+		case step.names("removed", name):
+			parts = append(parts, fmt.Sprintf("The VM learned only afterwards that %s was gone.", name))
+		case step.names("leaving", name):
+			parts = append(parts, fmt.Sprintf("The VM learned only afterwards that %s was leaving.", name))
+		}
+	}
+	for _, v := range s.Servers {
+		if v.Failed > 0 {
+			parts = append(parts, fmt.Sprintf("%d of %d other tries at %s failed too.", v.Failed, v.Tries, v.Name))
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+// end returns the line about the request's end, or nil.
+func (s *Story) end() *Line {
+	for i := range s.Steps {
+		if l := &s.Steps[i].Line; s.Steps[i].Role == Own && (l.Message == answered || l.Message == refused) {
+			return l
+		}
+	}
+	return nil
+}
+
+func (s *Story) has(message string) bool {
+	for i := range s.Steps {
+		if s.Steps[i].Message == message && s.Steps[i].Role == Belief {
+			return true
+		}
+	}
+	return false
+}
+
+// earlier names the tries that failed before the answer.
+func (s *Story) earlier() string {
+	var b strings.Builder
+	for i := range s.Steps {
+		if l := &s.Steps[i].Line; l.Message == tryFailed && s.Steps[i].Role == Own {
+			fmt.Fprintf(&b, " Try %d at %s failed (%s).", l.number("try"), l.text("backend"), l.text("reason"))
+		}
+	}
+	return b.String()
+}
+
+// backend returns the last server that the request was sent to, on any VM.
+func (s *Story) backend() string {
+	name := "unknown"
+	for i := range s.Steps {
+		if b := s.Steps[i].text("backend"); b != "" && s.Steps[i].Role == Own {
+			name = b
+		}
+	}
+	return name
+}
+
+// refusal says why the request was refused or failed at the backend server.
+func (l *Line) refusal(backend string) string {
+	status := ""
+	if n := l.number("status"); n > 0 {
+		status = fmt.Sprintf("Status %d: ", n)
+	}
+	took := l.duration("took").Round(time.Millisecond)
+	detail := l.text("detail")
+	switch l.text("reason") {
+	case "quota":
+		return status + fmt.Sprintf("team %s had used the VM's part of its rate, %.2f of the whole, which rests on demands up to %v old; the caller was told to come back after %v.",
+			l.text("team"), l.fraction("share"), l.duration("demands").Round(time.Millisecond), l.duration("wait").Round(time.Millisecond))
+	case "busy":
+		return status + fmt.Sprintf("every backend server of %s that could have taken the request had a longer queue than it may wait in (%.1f requests at the best of %d, %s, by a report %v old); the caller was told to come back after %v.",
+			l.text("service"), l.fraction("load"), l.number("weighed"), backend,
+			l.duration("report").Round(time.Millisecond), l.duration("wait").Round(time.Millisecond))
+	case "shed":
+		return status + fmt.Sprintf("backend server %s declined the request without running it.", backend)
+	case "deadline":
+		return status + fmt.Sprintf("the time was over after %v and %d tries, the last at %s (load %.1f, %v expected).",
+			took, l.number("tries"), backend, l.fraction("load"), l.duration("expected").Round(time.Millisecond))
+	case "backend":
+		if l.text("backend") == "" {
+			return status + fmt.Sprintf("no backend server of %s could be used (%s).", l.text("service"), detail)
+		}
+		return status + fmt.Sprintf("no connection to backend server %s could be opened.", backend)
+	case "broken":
+		return status + fmt.Sprintf("the exchange with backend server %s failed (%s); the request %s.", backend, detail, ran(l.text("result")))
+	case "gone":
+		return status + fmt.Sprintf("the caller left after %v.", took)
+	case "key":
+		return status + fmt.Sprintf("configuration %d has no team with the caller's key.", l.number("config"))
+	case "path":
+		return status + fmt.Sprintf("configuration %d has no route for the host and path.", l.number("config"))
+	case "stale":
+		return status + "the VM had no configuration yet."
+	case "body":
+		return status + "the body was longer than the configuration allows."
+	}
+	return status + fmt.Sprintf("%s %s.", l.text("reason"), detail)
+}
+
+func ran(result string) string {
+	if result == "not-run" {
+		return "has not run"
+	}
+	return "may have run"
+}
+
+func (l *Line) fraction(key string) float64 {
+	f, _ := l.Fields[key].(float64)
+	return f
+}
--- /dev/null
+++ b/internal/operator/trace/trace_test.go
@@ -0,0 +1,127 @@
+package trace
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+)
+
+// load reads a data file: the request's id, then the lines of all VMs.
+func load(t testing.TB, name string) (id string, lines []string) {
+	b, err := os.ReadFile(filepath.Join("testdata", name+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, rest, _ := strings.Cut(string(b), "\n")
+	return strings.TrimPrefix(head, "# request "), strings.Split(strings.TrimSpace(rest), "\n")
+}
+
+func tell(t testing.TB, id string, lines []string) *Story {
+	var l Log
+	if err := l.Read(strings.NewReader(strings.Join(lines, "\n"))); err != nil {
+		t.Fatal(err)
+	}
+	s, err := l.Story(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestStories compares the stories of the data files with their golden texts:
+// a refusal in rate while other VMs are silent; a failed try at a version whose
+// leader has a clock ten seconds ahead; a server that was gone while the store
+// was not reached; a VM that died; and a request that crossed two VMs.
+func TestStories(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.log")
+	if err != nil || len(files) < 5 {
+		t.Fatal(files, err)
+	}
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), ".log")
+		t.Run(name, func(t *testing.T) {
+			id, lines := load(t, name)
+			var out bytes.Buffer
+			if err := tell(t, id, lines).Text(&out); err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, name, out.Bytes())
+		})
+	}
+}
+
+// TestJSON compares the JSON form of one story with its golden text.
+func TestJSON(t *testing.T) {
+	id, lines := load(t, "rollout")
+	var out bytes.Buffer
+	if err := tell(t, id, lines).JSON(&out); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "rollout-json", out.Bytes())
+}
+
+// TestOrderOfCauses shuffles the lines and shifts the clock of each VM: a story
+// keeps its lines, and none comes before what caused it.
+func TestOrderOfCauses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.SampledFrom([]string{"quota", "rollout", "away", "hop"}).Draw(t, "file")
+		id, lines := load(&testing.T{}, name)
+		want := len(tell(&testing.T{}, id, lines).Steps)
+		var log Log
+		if err := log.Read(strings.NewReader(strings.Join(rapid.Permutation(lines).Draw(t, "lines"), "\n"))); err != nil {
+			t.Fatal(err)
+		}
+		shift := map[string]time.Duration{}
+		for i := range log.Lines {
+			l := &log.Lines[i]
+			if _, ok := shift[l.VM]; !ok {
+				shift[l.VM] = time.Duration(rapid.IntRange(-20, 20).Draw(t, "shift of "+l.VM)) * time.Second
+			}
+			l.Time = l.Time.Add(shift[l.VM])
+		}
+		s, err := log.Story(id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(s.Steps) != want {
+			t.Fatalf("%d steps, want %d", len(s.Steps), want)
+		}
+		for i := range s.Steps {
+			for j := range i {
+				first, second := &s.Steps[j].Line, &s.Steps[i].Line
+				if second.causes(first) || second.sameRun(first) && second.before(first) {
+					t.Fatalf("%s comes after %s, which rests on it", second.Message, first.Message)
+				}
+			}
+		}
+	})
+}
+
+// TestUnknown checks the error about a request that no line names.
+func TestUnknown(t *testing.T) {
+	_, lines := load(t, "quota")
+	var l Log
+	if err := l.Read(strings.NewReader(strings.Join(lines, "\n"))); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.Story("nobody"); !errors.Is(err, ErrUnknown) || !strings.Contains(err.Error(), "nobody") {
+		t.Errorf("error %v", err)
+	}
+}
+
+// TestLongLine checks that a line which is too long is an error and not a cut
+// story.
+func TestLongLine(t *testing.T) {
+	var l Log
+	if err := l.Read(bytes.NewReader(slices.Repeat([]byte("x"), longest+1))); err == nil {
+		t.Error("no error")
+	}
+}
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -5,7 +5,6 @@
 package ingress
 
 import (
-	"context"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -126,39 +125,6 @@
 	h.ended(q, r)
 }
 
-// ended counts the request and writes the line about it.
-func (h *Handler) ended(q *request, r *refusal) {
-	now := h.Clock.Now()
-	reason := sassafrastray.ReasonOK
-	if r != nil {
-		reason = r.reason
-	}
-	h.Metrics.Requests.WithLabelValues("callers", string(q.service), string(q.team), string(reason)).Inc()
-	h.Metrics.Latency.WithLabelValues("callers", string(q.service)).Observe(now.Sub(q.arrived).Seconds())
-	level := slog.LevelInfo
-	if r != nil {
-		level = slog.LevelWarn
-	}
-	if !h.Log.Enabled(context.Background(), level) {
-		return
-	}
-	args := []any{
-		"request", q.id, "object", q.object, "route", q.routeName(), "team", q.team, "service", q.service, "config", q.config,
-		"reason", reason, "status", q.ctx.Response.StatusCode(), "tries", q.tries, "took", now.Sub(q.arrived),
-		"left", q.deadline.Sub(now), "share", q.verdict.Share, "demands", q.verdict.Age,
-	}
-	if c := &q.choice; c.Server.Name != "" {
-		args = append(args, "backend", c.Server.Name, "version", c.Server.Version, "domain", c.Server.Domain,
-			"choice", c.Reason, "load", c.Load, "report", c.Age, "warm", c.Warm, "expected", c.Expected)
-	}
-	if r != nil {
-		args = append(args, "result", r.result, "detail", r.detail, "wait", r.wait)
-		h.Log.Warn("refused", args...)
-		return
-	}
-	h.Log.Info("answered", args...)
-}
-
 // Hosts returns the routes in force, or nil before the first configuration.
 func (h *Handler) Hosts() *route.Hosts {
 	if s := h.snap.Load(); s != nil {
--- /dev/null
+++ b/internal/traffic/ingress/line.go
@@ -0,0 +1,70 @@
+package ingress
+
+import (
+	"context"
+	"log/slog"
+
+	"sassafrastray"
+	"sassafrastray/internal/traffic/placement"
+	"sassafrastray/internal/traffic/retry"
+)
+
+// ended counts the request and writes the line about it.
+func (h *Handler) ended(q *request, r *refusal) {
+	now := h.Clock.Now()
+	reason := sassafrastray.ReasonOK
+	if r != nil {
+		reason = r.reason
+	}
+	h.Metrics.Requests.WithLabelValues("callers", string(q.service), string(q.team), string(reason)).Inc()
+	h.Metrics.Latency.WithLabelValues("callers", string(q.service)).Observe(now.Sub(q.arrived).Seconds())
+	level := slog.LevelInfo
+	if r != nil {
+		level = slog.LevelWarn
+	}
+	if !h.Log.Enabled(context.Background(), level) {
+		return
+	}
+	args := []any{
+		"request", q.id, "object", q.object, "route", q.routeName(), "team", q.team, "service", q.service, "config", q.config,
+		"reason", reason, "status", q.ctx.Response.StatusCode(), "tries", q.tries, "took", now.Sub(q.arrived),
+		"left", q.deadline.Sub(now), "share", q.verdict.Share, "demands", q.verdict.Age, "delay", q.verdict.Delay,
+	}
+	args = chosen(args, &q.choice)
+	if r != nil {
+		args = append(args, "result", r.result, "detail", r.detail, "wait", r.wait)
+		h.Log.Warn("refused", args...)
+		return
+	}
+	h.Log.Info("answered", args...)
+}
+
+// tried writes the line about a try that did not give the answer, and about what
+// was decided then. The line at the request's end tells only of the last try.
+func (h *Handler) tried(q *request, a *attempt, r *refusal, d retry.Decision) {
+	if a == nil || !h.Log.Enabled(context.Background(), slog.LevelWarn) {
+		return
+	}
+	now := h.Clock.Now()
+	args := []any{
+		"request", q.id, "try", q.tries, "service", q.service, "config", q.config, "took", now.Sub(a.start),
+		"left", q.deadline.Sub(now), "address", a.choice.Server.Address, "sent", a.out.Sent,
+	}
+	args = chosen(args, &a.choice)
+	if r == nil {
+		args = append(args, "reason", "failure", "status", a.resp.StatusCode())
+	} else {
+		args = append(args, "reason", r.reason, "result", r.result, "detail", r.detail)
+	}
+	h.Log.Warn("try failed", append(args, "again", d.Retry, "pause", d.Pause)...)
+}
+
+// chosen appends what decided on the backend server.
+func chosen(args []any, c *placement.Choice) []any {
+	if c.Server.Name == "" {
+		return args
+	}
+	return append(args, "backend", c.Server.Name, "version", c.Server.Version, "domain", c.Server.Domain,
+		"choice", c.Reason, "load", c.Load, "report", c.Age, "warm", c.Warm, "expected", c.Expected,
+		"weighed", c.Weighed, "next", c.Next, "nextExpected", c.NextExpected)
+}
--- /dev/null
+++ b/internal/traffic/ingress/line_test.go
@@ -0,0 +1,109 @@
+package ingress
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sassafrastray"
+	"sassafrastray/internal/operator/logbook"
+	"sassafrastray/internal/traffic/placement"
+)
+
+// TestLines checks that each failed try and the request's end have a line with
+// the request's id, what decided on the server, and the outcome.
+func TestLines(t *testing.T) {
+	p := &plan{}
+	for i, status := range []int{500, 200} {
+		b := newBackend(t, 0, status)
+		p.servers = append(p.servers, sassafrastray.BackendServer{Name: sassafrastray.BackendName('a' + rune(i)), Address: b.address})
+	}
+	h := handler(p)
+	var out bytes.Buffer
+	book := logbook.New(&out, logbook.JSON)
+	h.Log = slog.New(book.Handler(slog.LevelInfo, 100))
+	ask(h, "/read/x", "r1")
+	ask(h, "/read/x", "r2")
+	book.Close()
+	type line struct {
+		Message string `json:"msg"`
+		Request string `json:"request"`
+		Backend string `json:"backend"`
+		Choice  string `json:"choice"`
+		Reason  string `json:"reason"`
+		Status  int    `json:"status"`
+		Again   bool   `json:"again"`
+		Wait    int64  `json:"wait"`
+	}
+	var got []line
+	for s := range strings.Lines(out.String()) {
+		var l line
+		if err := json.Unmarshal([]byte(s), &l); err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, l)
+	}
+	// Failures are written before successes.
+	want := []line{
+		{Message: "try failed", Request: "r1", Backend: "a", Choice: "preferred", Reason: "failure", Status: 500, Again: true},
+		{Message: "refused", Request: "r2", Reason: "busy", Status: 503, Wait: int64(time.Second)},
+		{Message: "answered", Request: "r1", Backend: "b", Choice: "preferred", Reason: "ok", Status: 200},
+	}
+	if len(got) != len(want) {
+		t.Fatalf("lines %+v", got)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("line %d: %+v, want %+v", i, got[i], want[i])
+		}
+	}
+}
+
+// ask lets the handler answer one request.
+func ask(h *Handler, path, id string) {
+	var ctx fasthttp.RequestCtx
+	server, client := net.Pipe()
+	defer server.Close()
+	defer client.Close()
+	ctx.Init2(server, nil, false)
+	ctx.Request.Header.SetRequestURI(path)
+	ctx.Request.Header.SetHost("h")
+	ctx.Request.Header.Set("Id", id)
+	h.Handle(&ctx)
+}
+
+// BenchmarkEnded measures what the line and the metrics of a request cost: with
+// the log off, within the bound of lines, and far above it.
+func BenchmarkEnded(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		level  slog.Level
+		perSec float64
+	}{{"off", slog.LevelError, 1e9}, {"on", slog.LevelInfo, 1e9}, {"overload", slog.LevelInfo, 100}} {
+		b.Run(c.name, func(b *testing.B) {
+			h := handler(&plan{})
+			book := logbook.New(io.Discard, logbook.JSON)
+			defer book.Close()
+			h.Log = slog.New(book.Handler(c.level, c.perSec))
+			var ctx fasthttp.RequestCtx
+			q := &request{
+				ctx: &ctx, id: "9c41d07be2a35f68", service: "s", arrived: h.Clock.Now(), tries: 1,
+				choice: placement.Choice{
+					Server: sassafrastray.BackendServer{Name: "i-7f3a91c2", Version: "v1", Domain: "north-a"},
+					Reason: placement.Preferred, Expected: 150 * time.Millisecond, Next: "i-25c6ee2efd",
+				},
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				h.ended(q, nil)
+			}
+		})
+	}
+}
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -78,7 +78,9 @@
 			r.result = sassafrastray.Unknown
 		}
 		d := h.Retries.Next(h.outcome(q, a, r, exclude))
-		if !d.Retry || !q.repeatable() || q.isGone() {
+		d.Retry = d.Retry && q.repeatable() && !q.isGone()
+		h.tried(q, a, r, d)
+		if !d.Retry {
 			h.release(held)
 			return h.giveUp(q, failure, r)
 		}
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -94,7 +94,8 @@
 	}
 
 	// Choice is a server for a request. It holds a place at the server until
-	// Done.
+	// Done. A choice that was not made has the best of the servers that were
+	// weighed, if any, and holds nothing.
 	Choice struct {
 		Server sassafrastray.BackendServer
 		Reason Reason
@@ -112,6 +113,12 @@
 		// Age is the age of the load report that the choice rests on; it is
 		// negative if there was none.
 		Age time.Duration
+		// Weighed is how many servers could have taken the request. Next is
+		// the second best of those that the chosen one was compared with, and
+		// NextExpected its expected time; Next is empty if there was none.
+		Weighed      int
+		Next         sassafrastray.BackendName
+		NextExpected time.Duration
 
 		server *server
 		object uint64
@@ -128,6 +135,13 @@
 		work   time.Duration
 		load   float64
 	}
+
+	// ranking is the outcome of comparing servers.
+	ranking struct {
+		best, next candidate
+		// weighed is how many were compared.
+		weighed int
+	}
 )
 
 // Pick chooses the server for a request. It returns false if none should get
@@ -141,7 +155,8 @@
 	svc.detours = min(mostDetour, svc.detours+detourPart)
 	object, part := t.object(r)
 	far := part < svc.far
-	near, away := t.best(svc, &r, object, far, now)
+	nearby, others := t.best(svc, &r, object, far, now)
+	near, away := nearby.best, others.best
 	own, other, reason := near, away, Preferred
 	if far && away.server != nil {
 		own, other, reason = away, near, Away
@@ -158,9 +173,21 @@
 		reason = Spread
 	}
 	if r.refuses(own) {
-		return Choice{Reason: Busy, Wait: t.comeBack(own.wait), Load: own.load, Expected: own.cost}, false
+		return Choice{
+			Server: own.server.BackendServer, Reason: Busy, Wait: t.comeBack(own.wait), Load: own.load, Expected: own.cost,
+			Warm: own.warm, Age: own.server.age(now), Weighed: nearby.weighed + others.weighed,
+		}, false
+	}
+	c := t.take(own, object, reason, now)
+	c.Weighed = nearby.weighed + others.weighed
+	next := nearby.next
+	if own.server == others.best.server {
+		next = others.next
+	}
+	if next.server != nil {
+		c.Next, c.NextExpected = next.server.Name, next.cost
 	}
-	return t.take(own, object, reason, now), true
+	return c, true
 }
 
 // late tells whether the server would answer after the objective because of
@@ -211,7 +238,7 @@
 
 // best returns the best server of the VM's region and of all other regions
 // together. Far tells that the object belongs to the share of other regions.
-func (t *Table) best(svc *service, r *Request, object uint64, far bool, now time.Time) (near, away candidate) {
+func (t *Table) best(svc *service, r *Request, object uint64, far bool, now time.Time) (near, away ranking) {
 	var nearby, others []*server
 	for region, list := range svc.servers {
 		switch {
@@ -222,9 +249,7 @@
 			others = append(others, list...)
 		}
 	}
-	near, _ = t.bestOf(svc, nearby, r, object, true, now)
-	away, _ = t.bestOf(svc, others, r, object, far, now)
-	return near, away
+	return t.bestOf(svc, nearby, r, object, true, now), t.bestOf(svc, others, r, object, far, now)
 }
 
 func allowed(rules [2][]sassafrastray.RegionName, region sassafrastray.RegionName) bool {
@@ -239,9 +264,9 @@
 // bestOf returns the server that should answer first. Home tells that the
 // object's requests go to these servers as a rule, so that the one it prefers
 // knows it.
-func (t *Table) bestOf(svc *service, list []*server, r *Request, object uint64, home bool, now time.Time) (candidate, bool) {
+func (t *Table) bestOf(svc *service, list []*server, r *Request, object uint64, home bool, now time.Time) ranking {
 	first, second := preferred(svc, list, r, object)
-	best, found := candidate{cost: math.MaxInt64}, false
+	k := ranking{best: candidate{cost: math.MaxInt64}, next: candidate{cost: math.MaxInt64}}
 	for _, s := range list {
 		if !svc.runs(s, r) || !s.usable(now) || slices.Contains(r.Exclude, s.Name) {
 			continue
@@ -258,14 +283,19 @@
 				c.cost += time.Duration(stranger * float64(svc.work(false)))
 			}
 		}
+		k.weighed++
 		if r.Narrow && c.load < float64(s.Slots) {
-			return c, true
+			k.best, k.next = c, k.best
+			return k
 		}
-		if c.cost < best.cost {
-			best, found = c, true
+		switch {
+		case c.cost < k.best.cost:
+			k.best, k.next = c, k.best
+		case c.cost < k.next.cost:
+			k.next = c
 		}
 	}
-	return best, found
+	return k
 }
 
 // preferred returns the two servers that an object prefers, whether or not
@@ -335,12 +365,8 @@
 	if s.isCold(now) {
 		usual = 0
 	}
-	age := time.Duration(-1)
-	if !s.reported.IsZero() {
-		age = now.Sub(s.reported)
-	}
 	return Choice{
-		Server: s.BackendServer, Reason: reason, Expected: c.cost, Load: c.load, Warm: c.warm, Age: age, Usual: usual,
+		Server: s.BackendServer, Reason: reason, Expected: c.cost, Load: c.load, Warm: c.warm, Age: s.age(now), Usual: usual,
 		server: s, object: object, work: c.work,
 	}
 }
@@ -389,7 +415,14 @@
 	}
 	s.inflight--
 	work := max(0, took-t.distance(s.region))
+	block, until := s.block, s.blockedUntil
 	s.end(e, work, c.work, now)
+	switch {
+	case s.blockedUntil.After(until):
+		t.note(Event{Server: s.Name, Service: s.service.name, End: e, LeftOut: s.blockedUntil.Sub(now)})
+	case block > 0 && s.block == 0:
+		t.note(Event{Server: s.Name, Service: s.service.name, End: e})
+	}
 	if report != nil {
 		s.others, s.reported = max(0, report.Running+report.Waiting-s.inflight-1), now
 	}
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -38,6 +38,9 @@
 	// usualDistance is the round trip to another region before it was
 	// measured.
 	usualDistance = 60 * time.Millisecond
+
+	// mostEvents bounds the events that nobody has read.
+	mostEvents = 64
 )
 
 type (
@@ -59,6 +62,19 @@
 		distances map[sassafrastray.RegionName]time.Duration
 		fleet     []sassafrastray.VMName
 		first     time.Time
+		events    []Event
+	}
+
+	// Event tells that a server is left out for a time because of how requests
+	// ended there, or that it is used as usual again.
+	Event struct {
+		Server  sassafrastray.BackendName
+		Service sassafrastray.ServiceName
+		// End is how the latest request ended.
+		End End
+		// LeftOut is for how long the server gets no request; zero means that
+		// it is used again.
+		LeftOut time.Duration
 	}
 )
 
@@ -170,6 +186,20 @@
 	}
 }
 
+// Events returns what happened to servers since the last call, the oldest
+// first; what is beyond the bound is forgotten.
+func (t *Table) Events() []Event {
+	events := t.events
+	t.events = nil
+	return events
+}
+
+func (t *Table) note(e Event) {
+	if len(t.events) < mostEvents {
+		t.events = append(t.events, e)
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -118,6 +118,15 @@
 	return n
 }
 
+// age returns the age of the server's own report of its load, or -1 if there
+// was none.
+func (s *server) age(now time.Time) time.Duration {
+	if s.reported.IsZero() {
+		return -1
+	}
+	return now.Sub(s.reported)
+}
+
 // fade lets what counts against the server be forgotten.
 func (s *server) fade(now time.Time) {
 	if s.marked.IsZero() {
