Name the larger VMs of a large region only, and let those share the rates

Cause: on the deployment with 61 VMs a tenth of all tries were refused with 429. A team's rate was divided among all VMs, two or three requests in five seconds for each, though callers of a region need a quarter of its VMs: they use 2 to 3% of their processor time. Each VM also saw few requests and so little of the backend servers' load, and opened its own connections.

Ruled out: a larger part of the reserve for everybody (61 VMs have more parts than the reserve has requests).

Change: up to eight VMs of a region are named; of more, the largest, with half of the region's capacity and three of each failure domain. A VM says in its heartbeats that callers are not sent to it, and then keeps an even part of a tenth of the rates only. VM.Size comes from processor share and link.

--- a/cmd/sassafrastray/steer.go
+++ b/cmd/sassafrastray/steer.go
@@ -41,6 +41,10 @@
 // collector works harder.
 const memoryPart = 0.6
 
+// bytesPerCore is what passes a VM's link in a second each way while its
+// requests keep one core busy, by the capacity tests: 2,500 requests of 10 kB.
+const bytesPerCore = 25e6
+
 // Help returns the text that --help shows.
 func (steerCmd) Help() string { return steerUsage }
 
@@ -62,6 +66,7 @@
 	if set.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(set.Memory)))
 	}
+	set.VM.Size = size(set)
 	book := logbook.New(std.out, logbook.JSON)
 	defer book.Close()
 	log := slog.New(book.Handler(c.Level, c.Lines)).With("vm", set.VM.Name, "run", time.Now().UnixMilli())
@@ -78,6 +83,15 @@
 	return v.Run(ctx)
 }
 
+// size returns how much load the VM can carry, in processor cores. Callers'
+// requests need processor time and pass the link; what is shorter counts.
+func size(set *platform.Settings) float64 {
+	if set.Link == 0 {
+		return set.Cores
+	}
+	return min(set.Cores, set.Link/bytesPerCore)
+}
+
 // options turns the platform's settings into those of the VM.
 func (c steerCmd) options(set *platform.Settings) edge.Options {
 	o := edge.Options{
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -1,16 +1,35 @@
 // Package directory names the VMs that a caller may use: those of its own
 // region that take requests, and others only if there are none.
+//
+// In a large fleet it names the larger part of a region's capacity on few VMs
+// only. A team's rate is divided among the VMs that its callers use, and each VM
+// learns of the backend servers' load from its own requests, so both work better
+// when a region's requests meet at few VMs.
 package directory
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 
 	"sassafrastray"
 )
 
-// most bounds the VMs that one answer names.
-const most = 64
+const (
+	// most bounds the VMs that one answer names.
+	most = 64
+
+	// fewest is the number of a region's VMs up to which all of them are
+	// named, and fewestEach the number of a failure domain's VMs that are
+	// named at least, so that the loss of some leaves others.
+	fewest     = 8
+	fewestEach = 3
+
+	// part is the part of a region's capacity that the named VMs have
+	// together. Fleets are built to bear the loss of a region or two failure
+	// domains of six, so that usually less than half of it is in use.
+	part = 0.5
+)
 
 // VM is a VM as the directory sees it.
 type VM struct {
@@ -19,6 +38,8 @@
 	Region  sassafrastray.RegionName
 	// Ready VMs have a configuration, Suspect ones were not heard of lately.
 	Ready, Suspect bool
+	// Size is the VM's capacity in processor cores; zero means unknown.
+	Size float64
 }
 
 // Name returns the addresses for a caller. Homes are the regions in which the
@@ -32,16 +53,61 @@
 		func(v VM) bool { return v.Ready },
 		func(VM) bool { return true },
 	}
-	for _, test := range tests {
-		var out []netip.AddrPort
+	for i, test := range tests {
+		var fit []VM
 		for _, v := range vms {
-			if test(v) && len(out) < most {
-				out = append(out, v.Address)
+			if test(v) {
+				fit = append(fit, v)
 			}
 		}
-		if len(out) > 0 {
-			return out
+		if i == 0 {
+			fit = largest(fit)
+		}
+		if len(fit) > 0 {
+			return addresses(fit)
 		}
 	}
 	return nil
 }
+
+func addresses(vms []VM) []netip.AddrPort {
+	out := make([]netip.AddrPort, 0, min(most, len(vms)))
+	for _, v := range vms[:min(most, len(vms))] {
+		out = append(out, v.Address)
+	}
+	return out
+}
+
+// Named tells whether callers of the VM's own region are sent to it.
+func Named(vms []VM, address netip.AddrPort, region sassafrastray.RegionName) bool {
+	return slices.Contains(Name(vms, region, nil), address)
+}
+
+// largest returns the VMs with the most capacity, as many as it takes to have
+// the part of it that callers are sent to, in the order of their addresses. All
+// VMs that know the same others choose the same.
+func largest(vms []VM) []VM {
+	if len(vms) <= fewest {
+		return vms
+	}
+	bySize := slices.Clone(vms)
+	slices.SortStableFunc(bySize, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(b.Size, a.Size), a.Address.Compare(b.Address))
+	})
+	all := 0.0
+	for _, v := range vms {
+		all += v.Size
+	}
+	var out []VM
+	sum, each := 0.0, make(map[sassafrastray.DomainName]int)
+	for _, v := range bySize {
+		if sum >= part*all && len(out) >= fewest && each[v.Domain] >= fewestEach {
+			continue
+		}
+		out = append(out, v)
+		sum += v.Size
+		each[v.Domain]++
+	}
+	slices.SortFunc(out, func(a, b VM) int { return a.Address.Compare(b.Address) })
+	return out
+}
--- a/internal/fleet/edge/beat.go
+++ b/internal/fleet/edge/beat.go
@@ -65,7 +65,7 @@
 func (v *VM) beat(now time.Time) *neighbor.Beat {
 	v.sequence++
 	b := &neighbor.Beat{
-		VM: v.self, Inc: v.inc, Sequence: v.sequence, Ready: v.ready.Load(),
+		VM: v.self, Inc: v.inc, Sequence: v.sequence, Ready: v.ready.Load(), Idle: v.idle,
 		Latest: v.mirror.Latest(), Store: v.mirror.Failing(now) == 0,
 	}
 	if c := v.mirror.Config(); c != nil {
@@ -130,7 +130,7 @@
 	kept := *b
 	kept.Fleet = nil
 	v.beats[b.VM.Name] = &kept
-	v.quotas.do(func(q *allotment.Book, now time.Time) { q.Heard(b.VM.Name, b.Uses, now) })
+	v.quotas.do(func(q *allotment.Book, now time.Time) { q.Heard(b.VM.Name, b.Uses, b.Idle, now) })
 	if len(b.Evidence) > 0 {
 		v.rollouts.do(func(d *canary.Desk, _ time.Time) { d.Heard(b.VM.Name, b.Evidence) })
 	}
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -166,6 +166,8 @@
 		// silent are the VMs that were heard of and then were not.
 		silent  map[sassafrastray.VMName]bool
 		servers roster
+		// idle tells that callers are not sent to this VM.
+		idle    bool
 		due     map[string]time.Time
 		ticked  time.Time
 		copying bool
--- a/internal/fleet/edge/listen.go
+++ b/internal/fleet/edge/listen.go
@@ -14,6 +14,7 @@
 	"sassafrastray/internal/fleet/listener"
 	"sassafrastray/internal/fleet/mirror"
 	"sassafrastray/internal/fleet/neighbor"
+	"sassafrastray/internal/limit/allotment"
 	"sassafrastray/internal/traffic/entry"
 )
 
@@ -159,7 +160,7 @@
 	n := &naming{hosts: v.handler.Hosts()}
 	if v.self.State == sassafrastray.Live {
 		n.vms = append(n.vms, directory.VM{
-			Address: v.self.Callers, Domain: v.self.Domain, Region: v.opt.Region, Ready: ready,
+			Address: v.self.Callers, Domain: v.self.Domain, Region: v.opt.Region, Ready: ready, Size: v.self.Size,
 		})
 	}
 	for _, m := range v.members.View(now) {
@@ -176,11 +177,16 @@
 			continue
 		}
 		n.vms = append(n.vms, directory.VM{
-			Address: m.VM.Callers, Domain: m.VM.Domain, Region: v.opt.Regions[m.VM.Domain], Ready: b.Ready, Suspect: m.Suspect,
+			Address: m.VM.Callers, Domain: m.VM.Domain, Region: v.opt.Regions[m.VM.Domain], Ready: b.Ready, Suspect: m.Suspect, Size: m.VM.Size,
 		})
 	}
 	slices.SortFunc(n.vms, func(a, b directory.VM) int { return a.Address.Compare(b.Address) })
 	v.named.Store(n)
+	if idle := ready && !directory.Named(n.vms, v.self.Callers, v.opt.Region); idle != v.idle {
+		v.idle = idle
+		v.log.Info("named to callers", "named", !idle)
+		v.quotas.do(func(b *allotment.Book, _ time.Time) { b.Idle(idle) })
+	}
 }
 
 // drain takes the VM out of the look-ups at once, serves those who still come,
--- a/internal/fleet/neighbor/neighbor.go
+++ b/internal/fleet/neighbor/neighbor.go
@@ -41,6 +41,9 @@
 		Sequence uint64                    `json:"seq"`
 		// Ready tells that callers may be sent to the VM.
 		Ready bool `json:"ready,omitempty"`
+		// Idle tells that callers are not sent to the VM, as others of its
+		// region are larger.
+		Idle bool `json:"idle,omitempty"`
 		// Config is the number of its configuration, Latest the revisions of
 		// the latest changes that its copy of the store holds, and Store
 		// whether it reaches the store.
--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -7,7 +7,8 @@
 // admit the first requests at once. For each VM that is not heard of, whether
 // it is dead or cut off, an even part stays reserved; a VM that is cut off
 // gives itself no more than that. A VM takes a larger part only after the
-// others have had the time to hear of the demand that it rests on, and while
+// others have had the time to hear of the demand that it rests on. VMs to which
+// callers are not sent keep no more than an even part of the small rest. While
 // little of what a team may have is used, each VM admits a few requests more.
 //
 // What a team may have in any window is its rate over the window and its
@@ -146,6 +147,8 @@
 		told  Uses
 		tells []tell
 		short bool
+		// idle tells that callers are not sent to this VM.
+		idle bool
 		// began is when the first part was computed.
 		began time.Time
 		// started is set once the first teams were known.
@@ -161,6 +164,8 @@
 	peer struct {
 		heard time.Time
 		uses  Uses
+		// idle VMs are not named to callers.
+		idle bool
 	}
 
 	team struct {
@@ -239,11 +244,15 @@
 	}
 }
 
-// Heard takes in what teams ask of another VM.
-func (b *Book) Heard(vm sassafrastray.VMName, u Uses, now time.Time) {
-	b.peers[vm] = &peer{heard: now, uses: u}
+// Heard takes in what teams ask of another VM. Callers are not sent to an idle
+// one.
+func (b *Book) Heard(vm sassafrastray.VMName, u Uses, idle bool, now time.Time) {
+	b.peers[vm] = &peer{heard: now, uses: u, idle: idle}
 }
 
+// Idle tells whether callers are sent to this VM.
+func (b *Book) Idle(idle bool) { b.idle = idle }
+
 // Known tells of a VM that may admit requests, whether or not it was heard of.
 func (b *Book) Known(vm sassafrastray.VMName) {
 	if b.peers[vm] == nil {
@@ -319,7 +328,10 @@
 	due := t.rate*b.opt.Window.Seconds() + t.burst
 	most := (1+b.opt.Over-overlap)*due + reservePart*float64(b.opt.Reserve)
 	own := min(t.demand(), b.confirmed(now)[name].Demand)
-	all, others, heard, cut := own, 0, 1, 0
+	all, others, heard, cut, busy := own, 0, 1, 0, 0
+	if !b.idle {
+		busy = 1
+	}
 	for vm, p := range b.peers {
 		switch age := now.Sub(p.heard); {
 		case age <= silent:
@@ -327,6 +339,9 @@
 			all += u.Demand
 			others += u.Admitted
 			heard++
+			if !p.idle {
+				busy++
+			}
 			t.age = max(t.age, age)
 		case age > forget && !p.heard.IsZero():
 			delete(b.peers, vm)
@@ -341,7 +356,13 @@
 		cut = max(cut, b.opt.Fleet-heard)
 	}
 	vms := float64(heard)
-	part := evenPart/vms + (1-evenPart)*(own+slight)/(all+slight*vms)
+	part := evenPart / vms
+	if assumed := slight; !b.idle || own > 0 {
+		if b.idle {
+			assumed = 0
+		}
+		part += (1 - evenPart) * (own + assumed) / (all + slight*float64(max(1, busy)))
+	}
 	reach := vms / (vms + float64(cut))
 	t.share = reach * part
 	t.others, t.calm = others, calmPart*most*reach
--- a/internal/limit/allotment/allotment_test.go
+++ b/internal/limit/allotment/allotment_test.go
@@ -99,7 +99,7 @@
 		case w.now.Before(l.at):
 			rest = append(rest, l)
 		case !w.dead[l.to] && w.cut[l.from] == w.cut[l.to]:
-			w.books[l.to].Heard(l.from, l.uses, w.now)
+			w.books[l.to].Heard(l.from, l.uses, false, w.now)
 		}
 	}
 	w.late = rest
--- a/vm.go
+++ b/vm.go
@@ -27,6 +27,9 @@
 		// Inner is where other VMs speak the inner protocol.
 		Inner netip.AddrPort `json:"inner"`
 		State VMState        `json:"state"`
+		// Size is how much load the VM can carry, in processor cores; zero
+		// means that nobody knows.
+		Size float64 `json:"size,omitempty"`
 	}
 
 	// Place is a share of every quota that one VM holds at a time. A
