Let regions of a large fleet tell each other sums, and each pair of VMs speak once

Both VMs of a pair sent one, and each carried what 73 teams asked of the sender.

Ruled out: delegates that speak for their region, since they have to be agreed on and fail; member's sparse mode, whose news takes seconds and which names four VMs of another failure domain, too few for rates.

Change: a VM that has just heard another one does not speak to it. In a fleet of 24 VMs and more a VM speaks to its region and to two partners in each other region, chosen by hash, others if one does not answer; what crosses regions is the sum over the own region. Quotas and rollouts keep a region's sum like a VM that stands for many; one over fewer VMs does not replace a fresh one over more.

--- a/internal/fleet/edge/beat.go
+++ b/internal/fleet/edge/beat.go
@@ -18,10 +18,18 @@
 // another VM does not reach the store.
 const doubtEvery = 2 * time.Second
 
+// lately is how long after a heartbeat from another VM none is sent to it. It is
+// so much less than the time between heartbeats that two VMs whose rounds begin
+// at different times speak once in it.
+const lately = 700 * time.Millisecond
+
 // beatAll sends a heartbeat to all known VMs, and to the seeds while none is
 // known.
-func (v *VM) beatAll(now time.Time) {
-	to := v.members.Tick(now)
+//
+// A heartbeat and its answer tell both VMs, so that a VM which has just spoken is
+// left out unless the news is urgent.
+func (v *VM) beatAll(urgent bool, now time.Time) {
+	to := v.speakTo(v.members.Tick(now), now)
 	known := make(map[netip.AddrPort]bool, len(to))
 	for _, t := range to {
 		known[t.Inner] = true
@@ -33,13 +41,15 @@
 	}
 	b := v.beat(now)
 	for _, t := range to {
-		v.beatOne(t, b)
+		if urgent || now.Sub(v.spoken[t.Name]) >= lately {
+			v.beatOne(t, b, now)
+		}
 	}
 }
 
 // beatOne sends a heartbeat to one VM and takes in the answer.
-func (v *VM) beatOne(to sassafrastray.VM, b *neighbor.Beat) {
-	m := *b
+func (v *VM) beatOne(to sassafrastray.VM, b *neighbor.Beat, now time.Time) {
+	m := v.address(*b, to, now)
 	m.Seen = v.members.Incarnation(to.Name)
 	m.Digest = v.digest()
 	if have := v.beats[to.Name]; have == nil || have.Digest != m.Digest {
@@ -50,6 +60,7 @@
 		answer, err := v.client.Beat(to.Inner, &m, beatTimeout)
 		if err != nil {
 			v.metrics.beats.WithLabelValues("failed").Inc()
+			v.post(func(now time.Time) { v.regions.failed[to.Name] = now })
 			return
 		}
 		v.metrics.beats.WithLabelValues("ok").Inc()
@@ -81,12 +92,12 @@
 	answer := make(chan *neighbor.Beat, 1)
 	if !v.post(func(now time.Time) {
 		v.hear(b, now)
-		a := v.beat(now)
+		a := v.address(*v.beat(now), b.VM, now)
 		a.Seen, a.Digest = v.members.Incarnation(b.VM.Name), v.digest()
 		if a.Digest != b.Digest {
 			a.Fleet = v.fleet()
 		}
-		answer <- a
+		answer <- &a
 	}) {
 		return &neighbor.Beat{VM: v.opt.VM}
 	}
@@ -129,37 +140,54 @@
 	v.known.heard(b.VM.Name, now)
 	kept := *b
 	kept.Fleet = nil
-	v.beats[b.VM.Name] = &kept
-	v.quotas.do(func(q *allotment.Book, now time.Time) { q.Heard(b.VM.Name, b.Uses, b.Idle, now) })
-	if len(b.Evidence) > 0 {
-		v.rollouts.do(func(d *canary.Desk, _ time.Time) { d.Heard(b.VM.Name, b.Evidence) })
+	v.beats[b.VM.Name], v.spoken[b.VM.Name] = &kept, now
+	switch {
+	case b.Summary != nil:
+		v.hearRegion(b.Summary, now)
+	case !v.summed(b.VM, now):
+		v.hearFigures(b)
 	}
 	if !b.Store && v.mirror.Failing(now) == 0 && v.every("doubt", doubtEvery, now) {
 		v.interrupt("")
 	}
 }
 
+// hearFigures takes in what teams ask of another VM, and what it saw of rollouts.
+func (v *VM) hearFigures(b *neighbor.Beat) {
+	r := allotment.Report{Uses: b.Uses, VMs: 1}
+	if b.Idle {
+		r.Idle = 1
+	}
+	v.quotas.do(func(q *allotment.Book, now time.Time) { q.Heard(b.VM.Name, r, now) })
+	if len(b.Evidence) > 0 {
+		v.rollouts.do(func(d *canary.Desk, _ time.Time) { d.Heard(b.VM.Name, b.Evidence) })
+	}
+}
+
 // learn takes in VMs that another VM or the store knows, and forgets those that
 // are gone for good.
 func (v *VM) learn(vms []sassafrastray.VM, now time.Time) {
 	if len(vms) == 0 {
 		return
 	}
-	all := v.known.left(slices.Concat(v.members.Known(), vms), now)
+	all := v.known.left(slices.Concat(v.members.Known(), vms), v.hears, now)
 	v.members.List(all, now)
-	var others []sassafrastray.VMName
+	var others []sassafrastray.VM
+	var names []sassafrastray.VMName
 	for _, m := range all {
 		if m.Name != v.self.Name {
-			others = append(others, m.Name)
+			others = append(others, m)
+			names = append(names, m.Name)
 		}
 	}
-	v.places.do(func(t *placement.Table, _ time.Time) { t.Fleet(others) })
+	v.places.do(func(t *placement.Table, _ time.Time) { t.Fleet(names) })
 	v.retries.bound(v.retryReserve(len(others)))
-	v.quotas.do(func(q *allotment.Book, _ time.Time) {
-		for _, name := range others {
-			q.Known(name)
-		}
-	})
+	v.count(others)
+}
+
+// hears tells whether this VM would hear of the other one if it lived.
+func (v *VM) hears(vm sassafrastray.VM) bool {
+	return !v.large() || v.regionOf(vm) == v.opt.Region
 }
 
 // measure keeps the shortest round trip to each region, slowly forgetting it.
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -163,6 +163,9 @@
 		members  *member.Table
 		known    *known
 		beats    map[sassafrastray.VMName]*neighbor.Beat
+		// spoken is when each VM was last heard, by a heartbeat or an answer.
+		spoken  map[sassafrastray.VMName]time.Time
+		regions *regions
 		// silent are the VMs that were heard of and then were not.
 		silent  map[sassafrastray.VMName]bool
 		servers roster
@@ -199,6 +202,7 @@
 		beats: make(map[sassafrastray.VMName]*neighbor.Beat), due: make(map[string]time.Time), ticked: now,
 		writing:  make(map[sassafrastray.ServiceName]time.Time),
 		distance: make(map[sassafrastray.RegionName]time.Duration), silent: make(map[sassafrastray.VMName]bool),
+		spoken: make(map[sassafrastray.VMName]time.Time), regions: newRegions(),
 	}
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.metrics = newMetrics(v.registry)
@@ -320,8 +324,9 @@
 		}
 	}
 	v.leadRollouts(now)
-	if short := v.quotas.short(); short && v.every("short", shortEvery, now) || v.every("beat", beatEvery, now) {
-		v.beatAll(now)
+	urgent := v.quotas.short() && v.every("short", shortEvery, now)
+	if v.every("beat", beatEvery, now) || urgent {
+		v.beatAll(urgent, now)
 	}
 	if v.every("list", listEvery, now) {
 		v.readVMs()
--- a/internal/fleet/edge/feed.go
+++ b/internal/fleet/edge/feed.go
@@ -330,10 +330,10 @@
 }
 
 // retire removes the registrations of VMs that are gone for good, if this VM
-// leads.
+// is the first of those that would hear them.
 func (v *VM) retire(vms []sassafrastray.VM, now time.Time) {
 	for _, vm := range vms {
-		if vm.Name == v.self.Name || !v.known.gone(vm.Name, now) || !v.leads(now) {
+		if vm.Name == v.self.Name || !v.known.gone(vm.Name, now) || !v.hears(vm) || !v.first(now, v.hears) {
 			continue
 		}
 		v.spawn(func() {
--- a/internal/fleet/edge/known.go
+++ b/internal/fleet/edge/known.go
@@ -29,8 +29,8 @@
 }
 
 // left returns the VMs that are not gone, each once. Those that are new are
-// known from now on.
-func (k *known) left(vms []sassafrastray.VM, now time.Time) []sassafrastray.VM {
+// known from now on. Silence says nothing of a VM that hears denies.
+func (k *known) left(vms []sassafrastray.VM, hears func(sassafrastray.VM) bool, now time.Time) []sassafrastray.VM {
 	seen := make(map[sassafrastray.VMName]bool, len(vms))
 	var out []sassafrastray.VM
 	for _, vm := range vms {
@@ -41,7 +41,7 @@
 		if _, ok := k.since[vm.Name]; !ok {
 			k.since[vm.Name] = now
 		}
-		if !k.gone(vm.Name, now) {
+		if !k.gone(vm.Name, now) || !hears(vm) {
 			out = append(out, vm)
 		}
 	}
--- a/internal/fleet/edge/known_test.go
+++ b/internal/fleet/edge/known_test.go
@@ -41,7 +41,7 @@
 				vms = append(vms, sassafrastray.VM{Name: sassafrastray.VMName(name)})
 			}
 			var got []string
-			for _, vm := range k.left(vms, now) {
+			for _, vm := range k.left(vms, func(sassafrastray.VM) bool { return true }, now) {
 				got = append(got, string(vm.Name))
 			}
 			if g := strings.Join(got, " "); g != want {
--- a/internal/fleet/edge/lead.go
+++ b/internal/fleet/edge/lead.go
@@ -55,12 +55,17 @@
 // leads tells whether this VM is the first by name among those that reach the
 // store.
 func (v *VM) leads(now time.Time) bool {
+	return v.first(now, func(sassafrastray.VM) bool { return true })
+}
+
+// first is leads among some of the VMs.
+func (v *VM) first(now time.Time, among func(sassafrastray.VM) bool) bool {
 	if v.mirror.Failing(now) > 0 || v.self.State != sassafrastray.Live {
 		return false
 	}
 	for _, m := range v.members.View(now) {
 		b := v.beats[m.VM.Name]
-		if b != nil && !m.Suspect && b.Store && m.VM.State == sassafrastray.Live && m.VM.Name < v.self.Name {
+		if b != nil && !m.Suspect && b.Store && m.VM.State == sassafrastray.Live && m.VM.Name < v.self.Name && among(m.VM) {
 			return false
 		}
 	}
--- a/internal/fleet/edge/listen.go
+++ b/internal/fleet/edge/listen.go
@@ -165,7 +165,7 @@
 	}
 	for _, m := range v.members.View(now) {
 		b := v.beats[m.VM.Name]
-		if b != nil && v.silent[m.VM.Name] != m.Suspect {
+		if b != nil && v.hears(m.VM) && v.silent[m.VM.Name] != m.Suspect {
 			v.silent[m.VM.Name] = m.Suspect
 			if m.Suspect {
 				v.log.Warn("VM not heard of any more", "peer", m.VM.Name, "domain", m.VM.Domain)
@@ -200,7 +200,7 @@
 	v.post(func(now time.Time) {
 		v.self.State = sassafrastray.Leaving
 		v.name(now)
-		v.beatAll(now)
+		v.beatAll(true, now)
 	})
 	time.Sleep(time.Duration(stopAccepting * float64(v.opt.Bounds.Grace)))
 	closed := make(chan struct{})
--- a/internal/fleet/neighbor/neighbor.go
+++ b/internal/fleet/neighbor/neighbor.go
@@ -52,6 +52,9 @@
 		Store    bool                          `json:"store,omitempty"`
 		Uses     allotment.Uses                `json:"uses,omitempty"`
 		Evidence canary.Evidence               `json:"evidence,omitempty"`
+		// Summary takes the place of Uses and Evidence in heartbeats between
+		// the regions of a large fleet.
+		Summary *Summary `json:"summary,omitempty"`
 		// Seen is the incarnation that the sender knows of the receiver.
 		Seen sassafrastray.Incarnation `json:"seen,omitempty"`
 		// Digest stands for the VMs that the sender knows; Fleet has them,
@@ -60,6 +63,17 @@
 		Fleet  []sassafrastray.VM `json:"fleet,omitempty"`
 	}
 
+	// Summary is what the VMs of one region tell together.
+	Summary struct {
+		Region sassafrastray.RegionName `json:"region"`
+		// VMs is how many of them are heard of, and Idle how many of those
+		// callers are not sent to.
+		VMs      int             `json:"vms"`
+		Idle     int             `json:"idle,omitempty"`
+		Uses     allotment.Uses  `json:"uses,omitempty"`
+		Evidence canary.Evidence `json:"evidence,omitempty"`
+	}
+
 	// Service is what a VM does with messages.
 	Service interface {
 		// Beat takes in a heartbeat and returns the VM's own.
--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -161,11 +161,20 @@
 		uses Uses
 	}
 
+	// Report is what a VM, or the VMs of a region together, tell.
+	Report struct {
+		Uses Uses
+		// VMs is the number of VMs, and Idle how many of them callers are not
+		// sent to.
+		VMs, Idle int
+	}
+
+	// peer is another VM, or those of another region.
 	peer struct {
 		heard time.Time
-		uses  Uses
-		// idle VMs are not named to callers.
-		idle bool
+		Report
+		// known is how many VMs there are, whether or not they are heard of.
+		known int
 	}
 
 	team struct {
@@ -244,20 +253,27 @@
 	}
 }
 
-// Heard takes in what teams ask of another VM. Callers are not sent to an idle
-// one.
-func (b *Book) Heard(vm sassafrastray.VMName, u Uses, idle bool, now time.Time) {
-	b.peers[vm] = &peer{heard: now, uses: u, idle: idle}
+// Heard takes in what teams ask of another VM, or of the VMs of a region.
+func (b *Book) Heard(from sassafrastray.VMName, r Report, now time.Time) {
+	known := r.VMs
+	if p := b.peers[from]; p != nil {
+		known = max(known, p.known)
+	}
+	b.peers[from] = &peer{heard: now, Report: r, known: known}
 }
 
+// Forget drops a VM or region whose figures others tell now.
+func (b *Book) Forget(from sassafrastray.VMName) { delete(b.peers, from) }
+
 // Idle tells whether callers are sent to this VM.
 func (b *Book) Idle(idle bool) { b.idle = idle }
 
-// Known tells of a VM that may admit requests, whether or not it was heard of.
-func (b *Book) Known(vm sassafrastray.VMName) {
-	if b.peers[vm] == nil {
-		b.peers[vm] = &peer{}
+// Known tells of VMs that may admit requests, whether or not they were heard of.
+func (b *Book) Known(from sassafrastray.VMName, vms int) {
+	if b.peers[from] == nil {
+		b.peers[from] = &peer{}
 	}
+	b.peers[from].known = vms
 }
 
 // Tell returns what teams ask of this VM, for the next heartbeat.
@@ -335,18 +351,17 @@
 	for vm, p := range b.peers {
 		switch age := now.Sub(p.heard); {
 		case age <= silent:
-			u := p.uses[name]
+			u := p.Uses[name]
 			all += u.Demand
 			others += u.Admitted
-			heard++
-			if !p.idle {
-				busy++
-			}
+			heard += p.VMs
+			busy += p.VMs - p.Idle
+			cut += max(0, p.known-p.VMs)
 			t.age = max(t.age, age)
 		case age > forget && !p.heard.IsZero():
 			delete(b.peers, vm)
 		default:
-			cut++
+			cut += p.known
 		}
 	}
 	if b.began.IsZero() {
--- a/internal/limit/allotment/allotment_test.go
+++ b/internal/limit/allotment/allotment_test.go
@@ -70,7 +70,7 @@
 	w.books[name] = b
 	for _, known := range w.names {
 		if known != name {
-			b.Known(known)
+			b.Known(known, 1)
 		}
 	}
 	w.dead[name] = false
@@ -99,7 +99,7 @@
 		case w.now.Before(l.at):
 			rest = append(rest, l)
 		case !w.dead[l.to] && w.cut[l.from] == w.cut[l.to]:
-			w.books[l.to].Heard(l.from, l.uses, false, w.now)
+			w.books[l.to].Heard(l.from, Report{Uses: l.uses, VMs: 1}, w.now)
 		}
 	}
 	w.late = rest
--- a/internal/rollout/canary/canary.go
+++ b/internal/rollout/canary/canary.go
@@ -237,6 +237,38 @@
 	}
 }
 
+// Forget drops what another VM saw, since others tell it now.
+func (d *Desk) Forget(vm sassafrastray.VMName) {
+	for _, m := range d.moves {
+		delete(m.heard, vm)
+	}
+}
+
+// Sum adds up what several VMs saw.
+func Sum(all []Evidence) Evidence {
+	type key struct {
+		service sassafrastray.ServiceName
+		route   sassafrastray.RouteName
+		to      sassafrastray.VersionName
+	}
+	var out Evidence
+	at := make(map[key]int)
+	for _, e := range all {
+		for _, r := range e {
+			k := key{r.Service, r.Route, r.To}
+			i, ok := at[k]
+			if !ok {
+				i = len(out)
+				at[k] = i
+				out = append(out, Row{Service: r.Service, Route: r.Route, To: r.To})
+			}
+			out[i].Old.add(r.Old)
+			out[i].New.add(r.New)
+		}
+	}
+	return out
+}
+
 // Tick judges all rollouts and returns what the leader should write.
 func (d *Desk) Tick(now time.Time) []Step {
 	var steps []Step
