Watch the store by two VMs of each failure domain in a large fleet

Urgent heartbeats went out for a single request more. The collector kept five times the memory in use.

Ruled out: copies of whole topics for those that don't watch (100 kB each time a server changes).

Change: the first two VMs of a failure domain, by hash, that reach the store watch it, and the one that leads. They pass each change on with the revision of the change before; who lacks that one asks for a copy of the topics in which it is behind. Topics read anew are passed on whole, since removals have no revision then, and an outage's end travels along, so that lapsed entries stay for their reprieve. Urgent heartbeats need a rise of half a request a second and stay in the region. steer's collector runs at 100%.

--- a/cmd/sassafrastray/steer.go
+++ b/cmd/sassafrastray/steer.go
@@ -41,6 +41,10 @@
 // collector works harder.
 const memoryPart = 0.6
 
+// steerGCPercent lets the heap grow to twice of what is in use. Memory is dearer
+// on the platform than the collector's processor time.
+const steerGCPercent = 100
+
 // bytesPerCore is what passes a VM's link in a second each way while its
 // requests keep one core busy, by the capacity tests: 2,500 requests of 10 kB.
 const bytesPerCore = 25e6
@@ -62,7 +66,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(steerGCPercent)
 	if set.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(set.Memory)))
 	}
--- a/feed.go
+++ b/feed.go
@@ -44,8 +44,14 @@
 		// Revision is the store's revision to continue from.
 		Revision int64 `json:"revision"`
 		// Whole means that entries which are not in the batch do not exist.
-		Whole   bool    `json:"whole,omitempty"`
-		Entries []Entry `json:"entries"`
+		Whole bool `json:"whole,omitempty"`
+		// After is the revision of the latest change before those of a batch
+		// that one VM passes on to another.
+		After int64 `json:"after,omitempty"`
+		// Mended is how long ago the VM that passes the batch on reached the
+		// store again after an outage, or zero if there was none lately.
+		Mended  time.Duration `json:"mended,omitempty"`
+		Entries []Entry       `json:"entries"`
 	}
 
 	// Feed is the platform as one entry VM uses it: what operators and
--- a/internal/fleet/edge/beat.go
+++ b/internal/fleet/edge/beat.go
@@ -29,7 +29,7 @@
 // A heartbeat and its answer tell both VMs, so that a VM which has just spoken is
 // left out unless the news is urgent.
 func (v *VM) beatAll(urgent bool, now time.Time) {
-	to := v.speakTo(v.members.Tick(now), now)
+	to := v.speakTo(v.members.Tick(now), urgent, now)
 	known := make(map[netip.AddrPort]bool, len(to))
 	for _, t := range to {
 		known[t.Inner] = true
@@ -109,10 +109,11 @@
 	}
 }
 
-// Copy returns the VM's copy of the store.
-func (v *VM) Copy() []sassafrastray.Batch {
+// Copy returns the VM's copy of the topics of the store in which it holds later
+// changes.
+func (v *VM) Copy(held map[sassafrastray.Topic]int64) []sassafrastray.Batch {
 	answer := make(chan []sassafrastray.Batch, 1)
-	if !v.post(func(time.Time) { answer <- v.mirror.Whole() }) {
+	if !v.post(func(time.Time) { answer <- v.mirror.Whole(held) }) {
 		return nil
 	}
 	select {
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -152,6 +152,10 @@
 		ready atomic.Bool
 		// leading tells that this VM leads, for the watches.
 		leading atomic.Bool
+		// watching tells that this VM watches the store itself, and resume has
+		// the signal to each watch to begin anew.
+		watching atomic.Bool
+		resume   map[sassafrastray.Topic]chan struct{}
 
 		// The control goroutine owns what follows.
 		self     sassafrastray.VM
@@ -204,6 +208,11 @@
 		distance: make(map[sassafrastray.RegionName]time.Duration), silent: make(map[sassafrastray.VMName]bool),
 		spoken: make(map[sassafrastray.VMName]time.Time), regions: newRegions(),
 	}
+	v.watching.Store(true)
+	v.resume = make(map[sassafrastray.Topic]chan struct{}, len(mirror.Followed))
+	for _, t := range mirror.Followed {
+		v.resume[t] = make(chan struct{}, 1)
+	}
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.metrics = newMetrics(v.registry)
 	v.known = newKnown()
@@ -324,11 +333,12 @@
 		}
 	}
 	v.leadRollouts(now)
-	urgent := v.quotas.short() && v.every("short", shortEvery, now)
-	if v.every("beat", beatEvery, now) || urgent {
-		v.beatAll(urgent, now)
+	if v.every("beat", beatEvery, now) {
+		v.beatAll(false, now)
+	} else if v.quotas.short() && v.every("short", shortEvery, now) {
+		v.beatAll(true, now)
 	}
-	if v.every("list", listEvery, now) {
+	if v.watching.Load() && v.every("list", listEvery, now) {
 		v.readVMs()
 	}
 	if v.every("sweep", sweepEvery, now) {
--- a/internal/fleet/edge/feed.go
+++ b/internal/fleet/edge/feed.go
@@ -53,6 +53,12 @@
 	var after int64
 	pause := firstPause
 	for read, failed := false, false; v.ctx.Err() == nil; {
+		if read && !v.watching.Load() {
+			// What other VMs pass on may be newer than what was read here.
+			v.sleepUntil(v.resume[t])
+			read = false
+			continue
+		}
 		var b sassafrastray.Batch
 		var err error
 		interrupted := false
@@ -96,6 +102,14 @@
 	}
 }
 
+// sleepUntil waits for a signal unless the VM stops.
+func (v *VM) sleepUntil(c <-chan struct{}) {
+	select {
+	case <-c:
+	case <-v.ctx.Done():
+	}
+}
+
 // sleep waits unless the VM stops.
 func (v *VM) sleep(d time.Duration) {
 	t := time.NewTimer(d)
@@ -138,7 +152,10 @@
 // applied takes in what the store said.
 func (v *VM) applied(b sassafrastray.Batch, now time.Time) {
 	away := v.mirror.Failing(now)
-	v.changed(v.mirror.Apply(b, now), now)
+	latest := v.mirror.Latest()[b.Topic]
+	c := v.mirror.Apply(b, now)
+	v.tell(b, c, latest, now)
+	v.changed(c, now)
 	if away > 0 && v.mirror.Failing(now) == 0 {
 		v.log.Info("the store is reached again", "after", away)
 	}
@@ -236,6 +253,7 @@
 	failing := v.mirror.Failing(now)
 	v.metrics.failing.Set(failing.Seconds())
 	v.leading.Store(v.leads(now))
+	v.watch(now)
 	from := v.wiser(now)
 	if from == nil {
 		v.behind = time.Time{}
@@ -273,8 +291,9 @@
 
 // copyFrom asks another VM for its copy of the store.
 func (v *VM) copyFrom(from sassafrastray.VM) {
+	held := v.mirror.Held()
 	v.copying = v.spawn(func() {
-		batches, err := v.client.Copy(from.Inner, copyTimeout)
+		batches, err := v.client.Copy(from.Inner, held, copyTimeout)
 		v.post(func(now time.Time) {
 			v.copying = false
 			if err != nil {
--- a/internal/fleet/edge/region.go
+++ b/internal/fleet/edge/region.go
@@ -64,8 +64,9 @@
 func sum(r sassafrastray.RegionName) sassafrastray.VMName { return "region/" + sassafrastray.VMName(r) }
 
 // speakTo returns the VMs of the next round of heartbeats: all of the own region
-// and the partners in others.
-func (v *VM) speakTo(all []sassafrastray.VM, now time.Time) []sassafrastray.VM {
+// and the partners in others. Urgent news goes to the own region only; others
+// get it with the next sum.
+func (v *VM) speakTo(all []sassafrastray.VM, urgent bool, now time.Time) []sassafrastray.VM {
 	if !v.large() {
 		return all
 	}
@@ -78,6 +79,9 @@
 			away[r] = append(away[r], m)
 		}
 	}
+	if urgent {
+		return to
+	}
 	for _, list := range away {
 		to = append(to, v.partners(list, now)...)
 	}
--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -75,6 +75,18 @@
 // Revision returns the revision that a topic's copy reflects.
 func (m *Mirror) Revision(t sassafrastray.Topic) int64 { return m.topics[t].revision }
 
+// Held returns the revision up to which the copy of each topic that was read
+// holds all changes.
+func (m *Mirror) Held() map[sassafrastray.Topic]int64 {
+	out := make(map[sassafrastray.Topic]int64, len(Followed))
+	for name, t := range m.topics {
+		if t.read {
+			out[name] = max(t.latest, t.revision)
+		}
+	}
+	return out
+}
+
 // Latest returns the revision of the latest change of each topic that the copy
 // holds.
 func (m *Mirror) Latest() map[sassafrastray.Topic]int64 {
@@ -139,16 +151,40 @@
 	return m.apply(t, b, now)
 }
 
-// Adopt takes in a whole batch that came from another VM, if it is newer. The
-// topic still counts as failing.
+// Adopt takes in a batch that came from another VM, if it is newer. Of a batch
+// that is not whole it takes what has changed since; it does nothing if the copy
+// lacks earlier changes. The topic still counts as failing.
 func (m *Mirror) Adopt(b sassafrastray.Batch, now time.Time) Change {
 	t := m.topics[b.Topic]
-	if t == nil || !b.Whole || t.read && b.Revision <= t.revision {
+	if t == nil || t.read && b.Revision <= t.revision || !b.Whole && !m.Continues(b) {
 		return Change{}
 	}
+	if !b.Whole {
+		b.Entries = slices.DeleteFunc(slices.Clone(b.Entries), func(e sassafrastray.Entry) bool { return e.Revision <= t.revision })
+	}
+	if b.Mended > 0 {
+		t.mended = now.Add(-b.Mended)
+	}
 	return m.apply(t, b, now)
 }
 
+// Mended returns how long ago the store was reached again after an outage, as
+// long as servers that are missing may only have lapsed, or zero.
+func (m *Mirror) Mended(t sassafrastray.Topic, now time.Time) time.Duration {
+	s := m.topics[t]
+	if s == nil || s.mended.IsZero() || now.Sub(s.mended) > reprieve {
+		return 0
+	}
+	return max(1, now.Sub(s.mended))
+}
+
+// Continues tells whether the copy holds all changes before those of a batch
+// that is not whole.
+func (m *Mirror) Continues(b sassafrastray.Batch) bool {
+	t := m.topics[b.Topic]
+	return t != nil && t.read && max(t.latest, t.revision) >= b.After
+}
+
 func (m *Mirror) apply(t *topic, b sassafrastray.Batch, now time.Time) Change {
 	var c Change
 	if b.Whole {
@@ -281,12 +317,13 @@
 	return out
 }
 
-// Whole returns the copy of each topic for a VM that the store turns away.
-func (m *Mirror) Whole() []sassafrastray.Batch {
+// Whole returns the copy of each topic in which there are later changes than
+// those given, for a VM that does not hear of them from the store.
+func (m *Mirror) Whole(latest map[sassafrastray.Topic]int64) []sassafrastray.Batch {
 	var out []sassafrastray.Batch
 	for _, name := range Followed {
 		t := m.topics[name]
-		if !t.read {
+		if has, ok := latest[name]; !t.read || ok && has >= t.latest {
 			continue
 		}
 		b := sassafrastray.Batch{Topic: name, Revision: t.revision, Whole: true}
--- a/internal/fleet/neighbor/neighbor.go
+++ b/internal/fleet/neighbor/neighbor.go
@@ -23,6 +23,7 @@
 const (
 	BeatPath = "/beat"
 	CopyPath = "/copy"
+	NewsPath = "/news"
 )
 
 const (
@@ -63,6 +64,12 @@
 		Fleet  []sassafrastray.VM `json:"fleet,omitempty"`
 	}
 
+	// News is a change of the store that a VM passes on.
+	News struct {
+		From  sassafrastray.VM    `json:"from"`
+		Batch sassafrastray.Batch `json:"batch"`
+	}
+
 	// Summary is what the VMs of one region tell together.
 	Summary struct {
 		Region sassafrastray.RegionName `json:"region"`
@@ -78,8 +85,11 @@
 	Service interface {
 		// Beat takes in a heartbeat and returns the VM's own.
 		Beat(b *Beat) *Beat
-		// Copy returns the VM's copy of the store.
-		Copy() []sassafrastray.Batch
+		// Copy returns the VM's copy of the topics of the store in which it
+		// holds later changes.
+		Copy(held map[sassafrastray.Topic]int64) []sassafrastray.Batch
+		// News takes in changes of the store that another VM passes on.
+		News(n *News)
 	}
 
 	// Client calls other VMs.
@@ -112,13 +122,28 @@
 	return &answer, nil
 }
 
-// Copy returns the other VM's copy of the store.
-func (c *Client) Copy(to netip.AddrPort, timeout time.Duration) ([]sassafrastray.Batch, error) {
+// Copy returns the other VM's copy of the topics of the store in which it holds
+// changes after those given.
+func (c *Client) Copy(to netip.AddrPort, held map[sassafrastray.Topic]int64, timeout time.Duration) ([]sassafrastray.Batch, error) {
+	body, err := json.Marshal(held)
+	if err != nil {
+		return nil, errors.Wrap(err, "copy")
+	}
 	var batches []sassafrastray.Batch
-	err := c.call(to, CopyPath, nil, &batches, timeout)
+	err = c.call(to, CopyPath, body, &batches, timeout)
 	return batches, errors.Wrap(err, "copy")
 }
 
+// News passes a change of the store on.
+func (c *Client) News(to netip.AddrPort, n *News, timeout time.Duration) error {
+	body, err := json.Marshal(n)
+	if err != nil {
+		return errors.Wrap(err, "news")
+	}
+	var ok bool
+	return errors.Wrap(c.call(to, NewsPath, body, &ok, timeout), "news")
+}
+
 func (c *Client) call(to netip.AddrPort, path string, body []byte, v any, timeout time.Duration) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -154,7 +179,20 @@
 		}
 		reply(ctx, s.Beat(&b))
 	case CopyPath:
-		reply(ctx, s.Copy())
+		var held map[sassafrastray.Topic]int64
+		if err := json.Unmarshal(ctx.PostBody(), &held); err != nil {
+			ctx.Error("copy: "+err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		reply(ctx, s.Copy(held))
+	case NewsPath:
+		var n News
+		if err := json.Unmarshal(ctx.PostBody(), &n); err != nil {
+			ctx.Error("news: "+err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		s.News(&n)
+		reply(ctx, true)
 	default:
 		ctx.Error("unknown path", fasthttp.StatusNotFound)
 	}
--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -60,6 +60,10 @@
 	// part asks for a heartbeat at once.
 	grown = 1.2
 
+	// more is the least rise of a demand, in requests per second, for which a
+	// VM does so. A single request more is chance.
+	more = 0.5
+
 	// nearly is the part of what it may admit from which a VM does so before
 	// it refuses any.
 	nearly = 0.5
@@ -308,7 +312,7 @@
 	}
 	v := Verdict{Share: t.share, Age: t.age}
 	room := t.most()
-	if t.demand() > grown*b.told[name].Demand && float64(len(t.admitted)) >= nearly*float64(room) {
+	if told := b.told[name].Demand; t.demand() > max(grown*told, told+more) && float64(len(t.admitted)) >= nearly*float64(room) {
 		b.short = true
 	}
 	if len(t.admitted) < room {
@@ -381,7 +385,10 @@
 	reach := vms / (vms + float64(cut))
 	t.share = reach * part
 	t.others, t.calm = others, calmPart*most*reach
-	t.spare = int(sparePart * float64(b.opt.Reserve) / vms)
+	t.spare = 0
+	if !b.idle {
+		t.spare = int(sparePart * float64(b.opt.Reserve) / float64(max(1, busy)+cut))
+	}
 	t.room = min(t.share*most, max(evenLeast*reach*most/vms, reach*most-float64(others)))
 }
 
