--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -98,6 +98,9 @@
 	for _, v := range vms {
 		all += v.Size
 	}
+	if all == 0 {
+		return vms
+	}
 	var out []VM
 	sum, each := 0.0, make(map[sassafrastray.DomainName]int)
 	for _, v := range bySize {
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -64,6 +64,18 @@
 func (s *script) line(t *testing.T, n int, words []string) {
 	t.Helper()
 	switch words[0] {
+	case "news":
+		// A change that another VM passes on: its revision, that of the change
+		// before, and how long ago the store was reached again.
+		mended, err := time.ParseDuration(words[3])
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := sassafrastray.Batch{Topic: sassafrastray.TopicBackends, Revision: number(t, words[1]), After: number(t, words[2]), Mended: mended}
+		for _, w := range words[4:] {
+			b.Entries = append(b.Entries, entry(t, b.Revision, w))
+		}
+		s.m.Adopt(b, s.now)
 	case "whole", "part", "peer":
 		b := sassafrastray.Batch{Topic: sassafrastray.TopicBackends, Revision: number(t, words[1]), Whole: words[0] != "part"}
 		for _, w := range words[2:] {
