--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -136,9 +136,12 @@
 		// Wait is when a refused request would find a token.
 		Wait time.Duration
 		// Share is the VM's part of the team's rate, and Age the age of the
-		// oldest demand that it rests on.
-		Share float64
-		Age   time.Duration
+		// oldest demand that it rests on. Room is how many requests the VM
+		// may have admitted within the window, Used how many it has, and
+		// Others how many the other VMs have told.
+		Share              float64
+		Age                time.Duration
+		Room, Used, Others int
 	}
 
 	// Book holds one VM's part of all teams' rates.
@@ -310,8 +313,8 @@
 	if now.Sub(t.shared) >= refresh {
 		b.divide(t, name, now)
 	}
-	v := Verdict{Share: t.share, Age: t.age}
 	room := t.most()
+	v := Verdict{Share: t.share, Age: t.age, Room: room, Used: len(t.admitted), Others: t.others}
 	if told := b.told[name].Demand; t.demand() > max(grown*told, told+more) && float64(len(t.admitted)) >= nearly*float64(room) {
 		b.short = true
 	}
--- a/internal/limit/allotment/allotment_test.go
+++ b/internal/limit/allotment/allotment_test.go
@@ -31,6 +31,8 @@
 		// cut has the group of each VM; only VMs of one group hear each other.
 		cut  map[sassafrastray.VMName]int
 		dead map[sassafrastray.VMName]bool
+		// idle has 1 for each VM that callers are not sent to.
+		idle map[sassafrastray.VMName]int
 		now  time.Time
 		// beats has when each VM speaks next.
 		beats   map[sassafrastray.VMName]time.Time
@@ -99,7 +101,7 @@
 		case w.now.Before(l.at):
 			rest = append(rest, l)
 		case !w.dead[l.to] && w.cut[l.from] == w.cut[l.to]:
-			w.books[l.to].Heard(l.from, Report{Uses: l.uses, VMs: 1}, w.now)
+			w.books[l.to].Heard(l.from, Report{Uses: l.uses, VMs: 1, Idle: w.idle[l.from]}, w.now)
 		}
 	}
 	w.late = rest
@@ -230,6 +232,15 @@
 	}
 }
 
+// TestFewVMsOfManyAreUsed is the pattern of a large fleet whose callers are sent
+// to a part of its VMs: the others don't hold a part of the rates.
+func TestFewVMsOfManyAreUsed(t *testing.T) {
+	used := append(even(24), make([]float64, 37)...)
+	for _, d := range []demand{{"40 a second", 40, [][]float64{used}}, {"268 a second", 268, [][]float64{used}}} {
+		t.Run(d.name, func(t *testing.T) { d.checkFleet(t, 61, 37) })
+	}
+}
+
 // TestSmallDemandIsAdmitted is the same for teams that ask each VM for a few
 // requests a second.
 func TestSmallDemandIsAdmitted(t *testing.T) {
@@ -245,9 +256,19 @@
 // check counts over as many worlds as it takes to have several thousand
 // requests, so that the share of refusals is more than chance.
 func (d demand) check(t *testing.T) {
+	d.checkFleet(t, 11, 0)
+}
+
+// checkFleet is check for a fleet of which callers are not sent to the idle VMs.
+func (d demand) checkFleet(t *testing.T, vms, idle int) {
 	asked, refused := 0, 0
 	for seed := uint64(5); asked < 8000; seed++ {
-		w := newWorld(11, d.rate, int(d.rate), seed)
+		w := newWorld(vms, d.rate, int(d.rate), seed)
+		w.idle = make(map[sassafrastray.VMName]int)
+		for _, name := range w.names[vms-idle:] {
+			w.idle[name] = 1
+			w.books[name].Idle(true)
+		}
 		w.run(9*time.Second, 0.625*d.rate, d.shapes[0])
 		w.asked, w.refused = 0, 0
 		for range 3 {
--- a/internal/operator/trace/print.go
+++ b/internal/operator/trace/print.go
@@ -88,7 +88,7 @@
 		}
 		switch t := v.(type) {
 		case float64:
-			if times[k] && t >= 0 {
+			if times[k] && t != -1 {
 				v = time.Duration(t).Round(100 * time.Microsecond)
 			}
 		case []any:
--- a/internal/traffic/ingress/line.go
+++ b/internal/traffic/ingress/line.go
@@ -29,6 +29,7 @@
 		"request", q.id, "object", q.object, "route", q.routeName(), "team", q.team, "service", q.service, "config", q.config,
 		"reason", reason, "status", q.ctx.Response.StatusCode(), "tries", q.tries, "took", now.Sub(q.arrived),
 		"left", q.deadline.Sub(now), "share", q.verdict.Share, "demands", q.verdict.Age, "delay", q.verdict.Delay,
+		"room", q.verdict.Room, "used", q.verdict.Used, "others", q.verdict.Others,
 	}
 	args = chosen(args, &q.choice)
 	if r != nil {
