--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -21,7 +21,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"sassafrastray"
@@ -81,11 +80,6 @@
 	calmPart  = 0.8
 	sparePart = 1.2
 
-	// confirming is the part of the other VMs from which a heartbeat has to
-	// arrive after this VM told of a demand, before its part rests on it: the
-	// others shrink theirs only once they have heard of it.
-	confirming = 0.5
-
 	// young is how long after its start a VM takes the fleet to be as large
 	// as its options say, however few VMs it knows.
 	young = 7 * time.Second
@@ -404,21 +398,19 @@
 	return n
 }
 
-// confirmed returns the newest demand that was told before the part confirming
-// of the other VMs spoke last. A VM that a cut has parted from most others keeps
-// to what they knew before.
+// confirmed returns the newest demand that was told before another VM spoke last:
+// the others shrink their parts only once they have heard of it. A VM that a cut
+// has parted from all others keeps to what they knew before.
 func (b *Book) confirmed(now time.Time) Uses {
-	var heard []time.Time
+	var since time.Time
 	for _, p := range b.peers {
-		if now.Sub(p.heard) <= silent {
-			heard = append(heard, p.heard)
+		if now.Sub(p.heard) <= silent && p.heard.After(since) {
+			since = p.heard
 		}
 	}
-	if len(heard) == 0 {
+	if since.IsZero() {
 		return b.told
 	}
-	slices.SortFunc(heard, time.Time.Compare)
-	since := heard[int(confirming*float64(len(heard)-1))]
 	n := 0
 	for n+1 < len(b.tells) && !b.tells[n+1].at.After(since) {
 		n++
--- a/scenario/platform_test.go
+++ b/scenario/platform_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -32,6 +33,9 @@
 //	spared DOMAIN-PREFIX D       backend servers with the prefix get nothing for D
 //	refused STATUS               a request with a key that was taken away gets it
 //	stop                         ends the callers
+//	version SERVICE VERSION      starts backend servers of another version
+//	newfault PATTERN JSON        is fault for those
+//	vms N                        at the beginning: how many VMs there are, 6 without it
 //
 // At the end: what is not idempotent ran once at most, nothing refused as not
 // run has run, every answer was the request's own and whole, no backend server
@@ -43,6 +47,10 @@
 	mu      sync.Mutex
 	results []result
 	team    string
+	// zones has the failure domain of each VM, controls the addresses of the
+	// backend servers' processes.
+	zones    []string
+	controls []string
 }
 
 // result is what one caller saw of one request.
@@ -58,6 +66,7 @@
 	newKey = "sk_0123456789abcdef-new"
 )
 
+// zones are the failure domains of the first VMs; further ones repeat them.
 var zones = []string{"n-1", "n-2", "n-1", "s-1", "s-2", "s-1"}
 
 func TestPlatform(t *testing.T) {
@@ -76,19 +85,37 @@
 				procs: make(map[string]*exec.Cmd), exits: make(map[string]chan error),
 			}}
 			defer p.script.stop()
+			p.fleet(f)
 			p.up()
 			p.perform(f)
 		})
 	}
 }
 
+// fleet reads from the script how many VMs there are.
+func (p *platform) fleet(file string) {
+	n := len(zones)
+	b, err := os.ReadFile(file)
+	p.must(err)
+	for line := range strings.Lines(string(b)) {
+		if f := strings.Fields(line); len(f) == 2 && f[0] == "vms" {
+			n, err = strconv.Atoi(f[1])
+			p.must(err)
+		}
+	}
+	for i := range n {
+		p.zones = append(p.zones, zones[i%len(zones)])
+	}
+	p.controls = []string{p.local("127.0.0.1:7101")}
+}
+
 // up starts the stand-ins and the VMs, and waits until they are ready.
 func (p *platform) up() {
 	p.must(os.MkdirAll(p.dir, 0o755))
 	// Each VM has an address of the store to itself, so that the store can turn
 	// single VMs away.
 	listen := []string{p.local("127.0.0.1:7000")}
-	for i := range zones {
+	for i := range p.zones {
 		listen = append(listen, p.local(fmt.Sprintf("127.0.0.%d:7000", 11+i)))
 	}
 	p.run("registry", "standin", "registry", "--listen", strings.Join(listen, ","), "--control", p.local("127.0.0.1:7001"))
@@ -105,11 +132,11 @@
 	p.run("backend", "standin", "backend", "--servers", p.dir+"/servers.yaml", "--control", p.local("127.0.0.1:7101"),
 		"--registry", p.local("127.0.0.1:7000"))
 	p.config("first.json")
-	for i := range zones {
+	for i := range p.zones {
 		p.settings(i)
 		p.start(i)
 	}
-	for i := range zones {
+	for i := range p.zones {
 		p.until(20*time.Second, "all VMs are ready", func() error { return p.get(p.vm(i, 8680)+"/api/readiness", nil) })
 	}
 }
@@ -125,7 +152,7 @@
 
 // settings writes a VM's settings file.
 func (p *platform) settings(i int) {
-	region := map[byte]string{'n': "north", 's': "south"}[zones[i][0]]
+	region := map[byte]string{'n': "north", 's': "south"}[p.zones[i][0]]
 	p.write(fmt.Sprintf("vm-%d.yaml", i+1), p.local(fmt.Sprintf(`node: "vm-%d"
 zone: %q
 region: %q
@@ -139,7 +166,7 @@
 limits: {memory-mb: 284, max-fds: 4100}
 bounds: ["grace-s=4", "config-apply-ms=2000", "drain-ms=2000", "retry-budget-ratio=0.2", "retry-budget-slack=60", "quota-window-s=5", "quota-overshoot=0.1", "quota-slack=20", "exposure-share=0.1", "cold-overshoot=1.5", "cold-slack=5", "max-region-shift=0.15"]
 provider: {addr: "127.0.0.%[5]d:7000"}
-`, i+1, zones[i], region, i+1, 11+i)))
+`, i+1, p.zones[i], region, i+1, 11+i)))
 }
 
 func (p *platform) start(i int) {
@@ -216,6 +243,11 @@
 		_, err := fmt.Sscanf(f[1], "vm-%d", &n)
 		p.must(err)
 		p.until(15*time.Second, f[1]+" is ready", func() error { return p.get(p.vm(n-1, 8680)+"/api/readiness", nil) })
+	case "vms":
+	case "version":
+		p.version(f[1], f[2])
+	case "newfault":
+		p.put("PUT", "http://"+p.controls[len(p.controls)-1]+"/control/faults/"+f[1], strings.Join(f[2:], " "))
 	case "status":
 		p.status(f[1], f[2], f[3])
 	case "spared":
@@ -247,16 +279,35 @@
 	})
 }
 
+// version starts backend servers of another version of a service, two in each
+// failure domain, in a process of their own.
+func (p *platform) version(service, version string) {
+	n := len(p.controls) + 1
+	var servers strings.Builder
+	servers.WriteString("servers:\n")
+	for i, d := range []string{"n-1", "n-2", "s-1", "s-2"} {
+		fmt.Fprintf(&servers, "- {name: %s-%s-%s, service: %s, version: %s, listen: '%s', slots: 4, time: 20ms, spread: 0.3, domain: %s, count: 2}\n",
+			d, service, version, service, version, p.local(fmt.Sprintf("127.0.2.%d:%d", i+1, 8100+100*n)), d)
+	}
+	p.write("servers-"+version+".yaml", servers.String())
+	control := p.local(fmt.Sprintf("127.0.0.1:%d", 7100+n))
+	p.run("backend-"+version, "standin", "backend", "--servers", p.dir+"/servers-"+version+".yaml", "--control", control,
+		"--registry", p.local("127.0.0.1:7000"))
+	p.controls = append(p.controls, control)
+}
+
 // executed returns what the backend servers ran.
 func (p *platform) executed() []ledger.Entry {
-	r, err := http.Get("http://" + p.local("127.0.0.1:7101") + "/control/executed")
-	p.must(err)
-	defer r.Body.Close()
 	var all []ledger.Entry
-	for lines := bufio.NewScanner(r.Body); lines.Scan(); {
-		var e ledger.Entry
-		p.must(json.Unmarshal(lines.Bytes(), &e))
-		all = append(all, e)
+	for _, control := range p.controls {
+		r, err := http.Get("http://" + control + "/control/executed")
+		p.must(err)
+		for lines := bufio.NewScanner(r.Body); lines.Scan(); {
+			var e ledger.Entry
+			p.must(json.Unmarshal(lines.Bytes(), &e))
+			all = append(all, e)
+		}
+		r.Body.Close()
 	}
 	return all
 }
@@ -278,7 +329,7 @@
 
 // refused checks that a key that was taken away gets the status on every VM.
 func (p *platform) refused(status string) {
-	for i := range zones {
+	for i := range p.zones {
 		p.until(3*time.Second, "the old key is refused", func() error {
 			r, err := http.NewRequest("GET", p.vm(i, 8686)+"/stock/1", nil)
 			if err != nil {
@@ -332,7 +383,7 @@
 // lookup asks up to three VMs where to connect.
 func (p *platform) lookup(client *http.Client, rng *rand.Rand, region string) []string {
 	for range 3 {
-		r, err := client.Get(p.vm(rng.IntN(len(zones)), 8684) + "/api/resolve?name=stock.example&zone=&region=" + region)
+		r, err := client.Get(p.vm(rng.IntN(len(p.zones)), 8684) + "/api/resolve?name=stock.example&zone=&region=" + region)
 		if err != nil {
 			continue
 		}
