--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -221,8 +221,9 @@
 	return v, nil
 }
 
-// memberOptions are the bounds of membership: all VMs speak to each other, and
-// one that is silent for two heartbeats and a little is not named.
+// memberOptions are the bounds of membership: speakTo chooses whom a VM speaks to
+// and not the table, and one that is silent for two heartbeats and a little is not
+// named.
 func memberOptions() member.Options {
 	o := member.Defaults()
 	o.Suspect, o.Dead, o.Direct = 2300*time.Millisecond, 5*time.Second, 1<<16
--- a/internal/fleet/edge/lead.go
+++ b/internal/fleet/edge/lead.go
@@ -58,7 +58,8 @@
 	return v.first(now, func(sassafrastray.VM) bool { return true })
 }
 
-// first is leads among some of the VMs.
+// first tells whether this VM is the first by name that reaches the store among
+// itself and some of the others.
 func (v *VM) first(now time.Time, among func(sassafrastray.VM) bool) bool {
 	if v.mirror.Failing(now) > 0 || v.self.State != sassafrastray.Live {
 		return false
