--- a/internal/traffic/placement/load_test.go
+++ b/internal/traffic/placement/load_test.go
@@ -51,6 +51,11 @@
 		byName  map[sassafrastray.BackendName]*modelled
 		warm    time.Duration
 		cold    time.Duration
+		// timeout ends a try that has no answer; zero means that none ends.
+		timeout time.Duration
+		// queue is how many requests wait at a server before it declines
+		// others; zero means that it declines none.
+		queue int
 	}
 
 	// outcome counts what came of a run.
@@ -122,6 +127,14 @@
 	}
 	s := p.model.byName[c.Server.Name]
 	return c.Server.Name, func(took time.Duration, now time.Time) {
+		if took == 0 {
+			t.Done(c, Shed, took, nil, now)
+			return
+		}
+		if p.model.timeout > 0 && took >= p.model.timeout {
+			t.Done(c, Timeout, took, nil, now)
+			return
+		}
 		t.Done(c, OK, took, &sassafrastray.BackendLoad{Running: min(s.load, s.slots), Waiting: max(0, s.load-s.slots), Slots: s.slots}, now)
 	}, true
 }
@@ -179,6 +192,13 @@
 			continue
 		}
 		s := m.byName[name]
+		if m.queue > 0 && s.load >= s.slots+m.queue {
+			done(0, now)
+			if counted {
+				out.refused++
+			}
+			continue
+		}
 		end, known := s.run(object, m.warm, m.cold, now)
 		took := end.Sub(now)
 		window++
@@ -195,6 +215,9 @@
 		if counted && took <= 400*time.Millisecond {
 			out.inTime++
 		}
+		if m.timeout > 0 {
+			took = min(took, m.timeout)
+		}
 		s.load++
 		i, _ := slices.BinarySearchFunc(open, now.Add(took), func(e ending, at time.Time) int { return e.at.Compare(at) })
 		open = slices.Insert(open, i, ending{now.Add(took), func() { s.load--; done(took, now.Add(took)) }})
@@ -203,9 +226,12 @@
 }
 
 // vms returns the policy of this package for three VMs of the region.
-func vms(all []sassafrastray.BackendServer, m *model) *placed {
+func vms(all []sassafrastray.BackendServer, m *model) *placed { return fleetOf(3, all, m) }
+
+// fleetOf is vms for so many VMs.
+func fleetOf(count int, all []sassafrastray.BackendServer, m *model) *placed {
 	p := &placed{model: m, rng: rand.New(rand.NewPCG(7, 7))}
-	for i := range 3 {
+	for i := range count {
 		t := newTable("north", uint64(i))
 		t.Update(all, nil, start)
 		p.tables = append(p.tables, t)
@@ -235,6 +261,20 @@
 	}
 }
 
+// checkShares checks that the share of other regions stays within the bound on
+// shifts between two windows of two seconds.
+func checkShares(t *testing.T, out outcome) {
+	t.Helper()
+	for i := 1; i < len(out.shares); i++ {
+		a, b := out.shares[i-1], out.shares[i]
+		// Which objects callers ask for in a window is chance.
+		noise := 2 * math.Sqrt(a*(1-a)/out.windows[i-1]+b*(1-b)/out.windows[i])
+		if d := math.Abs(a - b); d > 0.15+noise {
+			t.Errorf("the share of other regions went from %.2f to %.2f, noise %.2f", a, b, noise)
+		}
+	}
+}
+
 // TestRegionWithFewServers is the pattern of a region that has a tenth of the
 // servers and a third of the callers. What its servers can't hold goes to the
 // other regions from the first second, and the share changes slowly: between
@@ -248,14 +288,7 @@
 	if part := float64(out.inTime) / float64(out.all); part < 0.9 {
 		t.Errorf("%.3f in time, want 0.9", part)
 	}
-	for i := 1; i < len(out.shares); i++ {
-		a, b := out.shares[i-1], out.shares[i]
-		// Which objects callers ask for in a window is chance.
-		noise := 2 * math.Sqrt(a*(1-a)/out.windows[i-1]+b*(1-b)/out.windows[i])
-		if d := math.Abs(a - b); d > 0.15+noise {
-			t.Errorf("the share of other regions went from %.2f to %.2f, noise %.2f", a, b, noise)
-		}
-	}
+	checkShares(t, out)
 	for i := 10; i < len(out.far); i++ {
 		// Half of the bound is left for chance and for detours.
 		if d := math.Abs(out.far[i] - out.far[i-10]); d > 0.15/2 {
@@ -377,3 +410,17 @@
 	}
 	return name, done, ok
 }
+
+// TestColdStartOfARegionWithFewServers is the pattern of a region that has a
+// tenth of the servers and a third of the callers, who all come at once to
+// servers that know no object. The part of the requests that runs in other
+// regions stays within the bound on shifts from one window of two seconds to the
+// next, also while the near servers are full.
+func TestColdStartOfARegionWithFewServers(t *testing.T) {
+	all := slices.Concat(servers("n-1", 16, 4), servers("s-1", 68, 4), servers("w-1", 68, 4))
+	m := newModel(all, 216*time.Millisecond, 720*time.Millisecond)
+	m.timeout, m.queue = 2*time.Second, 12
+	out := play(fleetOf(10, all, m), m, 279, steady(500), 16, 0, 2)
+	t.Logf("%d requests, %d in time, %d refused, %d away, shares %.2f", out.all, out.inTime, out.refused, out.away, out.shares)
+	checkShares(t, out)
+}
