Count other VMs' requests at servers that have reported nothing

Cause: TestColdStartOfARegionWithFewServers. Until a server's first answer a VM took its own requests for all that the server had. Ten VMs of a region so filled the queues of its few servers, and when the first reports came all refused there at once: the share of other regions went from 0.60 to 0.83 in two seconds.

Ruled out: a part of what others have.

Change: before a server's first report each other VM of the region to which callers are sent is taken to have sent it as many requests. Table.Mates tells how many there are. The test has 500, 600 and 700 requests a second.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -78,11 +78,6 @@
 	return out
 }
 
-// Named tells whether callers of the VM's own region are sent to it.
-func Named(vms []VM, address netip.AddrPort, region sassafrastray.RegionName) bool {
-	return slices.Contains(Name(vms, region, nil), address)
-}
-
 // largest returns the VMs with the most capacity, as many as it takes to have
 // the part of it that callers are sent to, in the order of their addresses. All
 // VMs that know the same others choose the same.
--- a/internal/fleet/edge/listen.go
+++ b/internal/fleet/edge/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -16,6 +17,7 @@
 	"sassafrastray/internal/fleet/neighbor"
 	"sassafrastray/internal/limit/allotment"
 	"sassafrastray/internal/traffic/entry"
+	"sassafrastray/internal/traffic/placement"
 )
 
 const (
@@ -182,7 +184,19 @@
 	}
 	slices.SortFunc(n.vms, func(a, b directory.VM) int { return a.Address.Compare(b.Address) })
 	v.named.Store(n)
-	if idle := ready && !directory.Named(n.vms, v.self.Callers, v.opt.Region); idle != v.idle {
+	v.noteNamed(directory.Name(n.vms, v.opt.Region, nil), ready)
+}
+
+// noteNamed tells the quotas and placement which VMs of the region callers are
+// sent to.
+func (v *VM) noteNamed(named []netip.AddrPort, ready bool) {
+	own := slices.Contains(named, v.self.Callers)
+	mates := len(named)
+	if own {
+		mates--
+	}
+	v.places.do(func(t *placement.Table, _ time.Time) { t.Mates(mates) })
+	if idle := ready && !own; idle != v.idle {
 		v.idle = idle
 		v.log.Info("named to callers", "named", !idle)
 		v.quotas.do(func(b *allotment.Book, _ time.Time) { b.Idle(idle) })
--- a/internal/traffic/placement/load_test.go
+++ b/internal/traffic/placement/load_test.go
@@ -234,6 +234,7 @@
 	for i := range count {
 		t := newTable("north", uint64(i))
 		t.Update(all, nil, start)
+		t.Mates(count - 1)
 		p.tables = append(p.tables, t)
 	}
 	return p
@@ -417,10 +418,14 @@
 // regions stays within the bound on shifts from one window of two seconds to the
 // next, also while the near servers are full.
 func TestColdStartOfARegionWithFewServers(t *testing.T) {
-	all := slices.Concat(servers("n-1", 16, 4), servers("s-1", 68, 4), servers("w-1", 68, 4))
-	m := newModel(all, 216*time.Millisecond, 720*time.Millisecond)
-	m.timeout, m.queue = 2*time.Second, 12
-	out := play(fleetOf(10, all, m), m, 279, steady(500), 16, 0, 2)
-	t.Logf("%d requests, %d in time, %d refused, %d away, shares %.2f", out.all, out.inTime, out.refused, out.away, out.shares)
-	checkShares(t, out)
+	for _, rate := range []float64{500, 600, 700} {
+		t.Run(fmt.Sprintf("%.0f a second", rate), func(t *testing.T) {
+			all := slices.Concat(servers("n-1", 16, 4), servers("s-1", 68, 4), servers("w-1", 68, 4))
+			m := newModel(all, 216*time.Millisecond, 720*time.Millisecond)
+			m.timeout, m.queue = 2*time.Second, 12
+			out := play(fleetOf(10, all, m), m, 279, steady(rate), 16, 0, 2)
+			t.Logf("%d requests, %d in time, %d refused, %d away, shares %.2f", out.all, out.inTime, out.refused, out.away, out.shares)
+			checkShares(t, out)
+		})
+	}
 }
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -334,7 +334,7 @@
 // weigh estimates when the server would answer.
 func (t *Table) weigh(svc *service, s *server, object uint64, first bool, now time.Time) candidate {
 	s.fade(now)
-	c := candidate{server: s, first: first, load: s.load(now)}
+	c := candidate{server: s, first: first, load: s.load(t.mates, now)}
 	c.warm = object == 0 || first || s.knows(object)
 	c.work = time.Duration(float64(svc.work(c.warm)) * s.slow)
 	if s.isCold(now) {
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -61,6 +61,7 @@
 		servers   map[sassafrastray.BackendName]*server
 		distances map[sassafrastray.RegionName]time.Duration
 		fleet     []sassafrastray.VMName
+		mates     int
 		first     time.Time
 		events    []Event
 	}
@@ -99,6 +100,9 @@
 // Fleet tells which other VMs share the bounds on cold servers.
 func (t *Table) Fleet(others []sassafrastray.VMName) { t.fleet = others }
 
+// Mates tells how many other VMs of the region send requests to the same servers.
+func (t *Table) Mates(n int) { t.mates = n }
+
 // Distance tells the round trip to a region.
 func (t *Table) Distance(r sassafrastray.RegionName, d time.Duration) { t.distances[r] = d }
 
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -105,11 +105,14 @@
 	}
 }
 
-// load estimates the requests at the server, those of other VMs included.
-func (s *server) load(now time.Time) float64 {
+// load estimates the requests at the server, those of other VMs included. Before
+// its first report, each of the mates is taken to have sent it as many as this VM.
+func (s *server) load(mates int, now time.Time) float64 {
 	n := float64(s.inflight)
 	switch age := now.Sub(s.reported); {
-	case s.reported.IsZero() || age >= fadeReport:
+	case s.reported.IsZero():
+		n *= float64(1 + mates)
+	case age >= fadeReport:
 	case age <= keepReport:
 		n += float64(s.others)
 	default:
--- a/internal/traffic/placement/service.go
+++ b/internal/traffic/placement/service.go
@@ -153,9 +153,9 @@
 				continue
 			}
 			if region == t.opt.Region {
-				near, nearSlots = near+v.load(now), nearSlots+v.Slots
+				near, nearSlots = near+v.load(t.mates, now), nearSlots+v.Slots
 			} else {
-				away, awaySlots = away+v.load(now), awaySlots+v.Slots
+				away, awaySlots = away+v.load(t.mates, now), awaySlots+v.Slots
 			}
 		}
 	}
