--- a/cmd/sassafrastray/serve.go
+++ b/cmd/sassafrastray/serve.go
@@ -31,8 +31,8 @@
 	// gcPercent lets the heap grow to five times of what is in use.
 	gcPercent = 400
 
-	// serveLines is how many log lines of each level a VM writes in a second,
-	// several times what it writes under the load of its capacity tests.
+	// serveLines is how many log lines of each level a VM writes in a second. At
+	// 17 us each they take at most 2% of a core.
 	serveLines = 1000
 )
 
--- a/cmd/sassafrastray/steer.go
+++ b/cmd/sassafrastray/steer.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/fleet/directory"
 	"sassafrastray/internal/fleet/edge"
 	"sassafrastray/internal/operator/logbook"
 	"sassafrastray/platform"
@@ -41,14 +42,10 @@
 // collector works harder.
 const memoryPart = 0.6
 
-// steerGCPercent lets the heap grow to twice of what is in use. Memory is dearer
-// on the platform than the collector's processor time.
+// steerGCPercent lets the heap grow to twice of what is in use. On the platform's
+// small VMs that halves the memory of gcPercent for a quarter more processor time.
 const steerGCPercent = 100
 
-// bytesPerCore is what passes a VM's link in a second each way while its
-// requests keep one core busy, by the capacity tests: 2,500 requests of 10 kB.
-const bytesPerCore = 25e6
-
 // Help returns the text that --help shows.
 func (steerCmd) Help() string { return steerUsage }
 
@@ -70,7 +67,7 @@
 	if set.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(set.Memory)))
 	}
-	set.VM.Size = size(set)
+	set.VM.Size = directory.Size(set.Cores, set.Link)
 	book := logbook.New(std.out, logbook.JSON)
 	defer book.Close()
 	log := slog.New(book.Handler(c.Level, c.Lines)).With("vm", set.VM.Name, "run", time.Now().UnixMilli())
@@ -87,15 +84,6 @@
 	return v.Run(ctx)
 }
 
-// size returns how much load the VM can carry, in processor cores. Callers'
-// requests need processor time and pass the link; what is shorter counts.
-func size(set *platform.Settings) float64 {
-	if set.Link == 0 {
-		return set.Cores
-	}
-	return min(set.Cores, set.Link/bytesPerCore)
-}
-
 // options turns the platform's settings into those of the VM.
 func (c steerCmd) options(set *platform.Settings) edge.Options {
 	o := edge.Options{
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -26,9 +26,14 @@
 	fewestEach = 3
 
 	// part is the part of a region's capacity that the named VMs have
-	// together. Fleets are built to bear the loss of a region or two failure
-	// domains of six, so that usually less than half of it is in use.
+	// together, so that they can take over what another region of the same
+	// size leaves behind.
 	part = 0.5
+
+	// bytesPerCore is what passes a VM's link in a second each way while
+	// requests keep one core busy: 2,500 requests of 0.4 ms, as measured on
+	// the platform, taken to have 10 kB each.
+	bytesPerCore = 25e6
 )
 
 // VM is a VM as the directory sees it.
@@ -42,6 +47,16 @@
 	Size float64
 }
 
+// Size returns the capacity of a VM with so many processor cores and so many bytes
+// per second on its link; zero means unknown. Requests need both, and what is
+// shorter counts.
+func Size(cores, link float64) float64 {
+	if link == 0 {
+		return cores
+	}
+	return min(cores, link/bytesPerCore)
+}
+
 // Name returns the addresses for a caller. Homes are the regions in which the
 // host's routes may be served; they matter only if the caller's own region has
 // no VM.
--- a/internal/fleet/edge/beat.go
+++ b/internal/fleet/edge/beat.go
@@ -18,32 +18,26 @@
 // another VM does not reach the store.
 const doubtEvery = 2 * time.Second
 
-// lately is how long after a heartbeat from another VM none is sent to it. It is
-// so much less than the time between heartbeats that two VMs whose rounds begin
-// at different times speak once in it.
-const lately = 700 * time.Millisecond
-
-// beatAll sends a heartbeat to all known VMs, and to the seeds while none is
-// known.
-//
-// A heartbeat and its answer tell both VMs, so that a VM which has just spoken is
-// left out unless the news is urgent.
-func (v *VM) beatAll(urgent bool, now time.Time) {
-	to := v.speakTo(v.members.Tick(now), urgent, now)
-	known := make(map[netip.AddrPort]bool, len(to))
-	for _, t := range to {
-		known[t.Inner] = true
+// beatAll sends the heartbeats of a round, also to the seeds while their VMs are
+// not known.
+func (v *VM) beatAll(now time.Time) {
+	to := v.members.Tick(now)
+	known := map[netip.AddrPort]bool{v.self.Inner: true}
+	for _, vm := range v.members.Known() {
+		known[vm.Inner] = true
 	}
 	for _, a := range v.opt.Seeds {
-		if !known[a] && a != v.self.Inner {
+		if !known[a] {
 			to = append(to, sassafrastray.VM{Inner: a})
 		}
 	}
+	v.beatTo(to, now)
+}
+
+func (v *VM) beatTo(to []sassafrastray.VM, now time.Time) {
 	b := v.beat(now)
 	for _, t := range to {
-		if urgent || now.Sub(v.spoken[t.Name]) >= lately {
-			v.beatOne(t, b, now)
-		}
+		v.beatOne(t, b, now)
 	}
 }
 
@@ -60,7 +54,7 @@
 		answer, err := v.client.Beat(to.Inner, &m, beatTimeout)
 		if err != nil {
 			v.metrics.beats.WithLabelValues("failed").Inc()
-			v.post(func(now time.Time) { v.regions.failed[to.Name] = now })
+			v.post(func(now time.Time) { v.members.Unanswered(to.Name, now) })
 			return
 		}
 		v.metrics.beats.WithLabelValues("ok").Inc()
@@ -141,7 +135,7 @@
 	v.known.heard(b.VM.Name, now)
 	kept := *b
 	kept.Fleet = nil
-	v.beats[b.VM.Name], v.spoken[b.VM.Name] = &kept, now
+	v.beats[b.VM.Name] = &kept
 	switch {
 	case b.Summary != nil:
 		v.hearRegion(b.Summary, now)
@@ -155,13 +149,9 @@
 
 // hearFigures takes in what teams ask of another VM, and what it saw of rollouts.
 func (v *VM) hearFigures(b *neighbor.Beat) {
-	r := allotment.Report{Uses: b.Uses, VMs: 1}
-	if b.Idle {
-		r.Idle = 1
-	}
-	v.quotas.do(func(q *allotment.Book, now time.Time) { q.Heard(b.VM.Name, r, now) })
+	v.quotas.do(func(q *allotment.Book, now time.Time) { q.Heard(b.VM.Name.Source(), b.Report(), now) })
 	if len(b.Evidence) > 0 {
-		v.rollouts.do(func(d *canary.Desk, _ time.Time) { d.Heard(b.VM.Name, b.Evidence) })
+		v.rollouts.do(func(d *canary.Desk, _ time.Time) { d.Heard(b.VM.Name.Source(), b.Evidence) })
 	}
 }
 
@@ -171,7 +161,7 @@
 	if len(vms) == 0 {
 		return
 	}
-	all := v.known.left(slices.Concat(v.members.Known(), vms), v.hears, now)
+	all := v.known.left(slices.Concat(v.members.Known(), vms), v.members.Near, now)
 	v.members.List(all, now)
 	var others []sassafrastray.VM
 	var names []sassafrastray.VMName
@@ -186,11 +176,6 @@
 	v.count(others)
 }
 
-// hears tells whether this VM would hear of the other one if it lived.
-func (v *VM) hears(vm sassafrastray.VM) bool {
-	return !v.large() || v.regionOf(vm) == v.opt.Region
-}
-
 // measure keeps the shortest round trip to each region, slowly forgetting it.
 func (v *VM) measure(to sassafrastray.VM, trip time.Duration) {
 	region := v.opt.Regions[to.Domain]
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -28,6 +28,7 @@
 	"sassafrastray/internal/fleet/mirror"
 	"sassafrastray/internal/fleet/neighbor"
 	"sassafrastray/internal/limit/allotment"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/rollout/canary"
 	"sassafrastray/internal/traffic/entry"
 	"sassafrastray/internal/traffic/hangup"
@@ -46,6 +47,11 @@
 	// a team was refused whose demand the others don't know yet.
 	shortEvery = 250 * time.Millisecond
 
+	// quietTime is how long after a heartbeat from another VM none is sent to
+	// it. It is so much less than beatEvery that two VMs whose rounds begin at
+	// different times speak once in it.
+	quietTime = 700 * time.Millisecond
+
 	listEvery  = 10 * time.Second
 	sweepEvery = 5 * time.Second
 
@@ -167,9 +173,7 @@
 		members  *member.Table
 		known    *known
 		beats    map[sassafrastray.VMName]*neighbor.Beat
-		// spoken is when each VM was last heard, by a heartbeat or an answer.
-		spoken  map[sassafrastray.VMName]time.Time
-		regions *regions
+		regions  *regions
 		// silent are the VMs that were heard of and then were not.
 		silent  map[sassafrastray.VMName]bool
 		servers roster
@@ -206,7 +210,7 @@
 		beats: make(map[sassafrastray.VMName]*neighbor.Beat), due: make(map[string]time.Time), ticked: now,
 		writing:  make(map[sassafrastray.ServiceName]time.Time),
 		distance: make(map[sassafrastray.RegionName]time.Duration), silent: make(map[sassafrastray.VMName]bool),
-		spoken: make(map[sassafrastray.VMName]time.Time), regions: newRegions(),
+		regions: newRegions(),
 	}
 	v.watching.Store(true)
 	v.resume = make(map[sassafrastray.Topic]chan struct{}, len(mirror.Followed))
@@ -216,17 +220,17 @@
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.metrics = newMetrics(v.registry)
 	v.known = newKnown()
-	v.members = member.New(opt.VM, memberOptions(), v.random())
+	v.members = member.New(opt.VM, memberOptions(opt.Regions), v.random())
 	v.build()
 	return v, nil
 }
 
-// memberOptions are the bounds of membership: speakTo chooses whom a VM speaks to
-// and not the table, and one that is silent for two heartbeats and a little is not
-// named.
-func memberOptions() member.Options {
+// memberOptions are the bounds of membership: a VM that is silent for two
+// heartbeats and a little is not named.
+func memberOptions(regions map[sassafrastray.DomainName]sassafrastray.RegionName) member.Options {
 	o := member.Defaults()
-	o.Suspect, o.Dead, o.Direct = 2300*time.Millisecond, 5*time.Second, 1<<16
+	o.Suspect, o.Dead = 2300*time.Millisecond, 5*time.Second
+	o.Regions, o.Partners, o.Avoid, o.Quiet = regions, partners, avoidTime, quietTime
 	return o
 }
 
@@ -321,23 +325,17 @@
 // tick does what time brings.
 func (v *VM) tick(now time.Time) {
 	if pause := now.Sub(v.ticked); pause > stoodStill {
-		v.log.Warn("the VM stood still", "pause", pause)
+		v.log.Warn(message.StoodStill, "pause", pause)
 		v.quotas.suspended()
 	}
 	v.ticked = now
 	v.changed(v.mirror.Tick(now), now)
-	for _, e := range v.places.tick() {
-		if e.LeftOut > 0 {
-			v.log.Warn("backend server left out", "backend", e.Server, "service", e.Service, "end", e.End, "for", e.LeftOut)
-		} else {
-			v.log.Info("backend server used again", "backend", e.Server, "service", e.Service)
-		}
-	}
+	v.noteServers(v.places.tick())
 	v.leadRollouts(now)
 	if v.every("beat", beatEvery, now) {
-		v.beatAll(false, now)
+		v.beatAll(now)
 	} else if v.quotas.short() && v.every("short", shortEvery, now) {
-		v.beatAll(true, now)
+		v.beatTo(v.members.Urgent(), now)
 	}
 	if v.watching.Load() && v.every("list", listEvery, now) {
 		v.readVMs()
@@ -347,5 +345,17 @@
 		v.inner.Sweep()
 	}
 	v.watchStore(now)
+	v.noteSilence(now)
 	v.name(now)
 }
+
+// noteServers writes what placement found out about backend servers.
+func (v *VM) noteServers(events []placement.Event) {
+	for _, e := range events {
+		if e.LeftOut > 0 {
+			v.log.Warn(message.ServerLeftOut, "backend", e.Server, "service", e.Service, "end", e.End, "for", e.LeftOut)
+		} else {
+			v.log.Info(message.ServerUsed, "backend", e.Server, "service", e.Service)
+		}
+	}
+}
--- a/internal/fleet/edge/feed.go
+++ b/internal/fleet/edge/feed.go
@@ -13,6 +13,7 @@
 	"sassafrastray/internal/fleet/mirror"
 	"sassafrastray/internal/limit/allotment"
 	"sassafrastray/internal/operator/key"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/rollout/canary"
 	"sassafrastray/internal/traffic/ingress"
 	"sassafrastray/internal/traffic/placement"
@@ -132,7 +133,7 @@
 // connections which may have gone the same way.
 func (v *VM) storeFailed(t sassafrastray.Topic, err error, now time.Time) {
 	if v.mirror.Failing(now) == 0 {
-		v.log.Warn("the store is not reached", "topic", t, "error", err.Error())
+		v.log.Warn(message.StoreAway, "topic", t, "error", err.Error())
 		v.interrupt(t)
 	}
 	v.mirror.Failed(t, now)
@@ -157,7 +158,7 @@
 	v.tell(b, c, latest, now)
 	v.changed(c, now)
 	if away > 0 && v.mirror.Failing(now) == 0 {
-		v.log.Info("the store is reached again", "after", away)
+		v.log.Info(message.StoreBack, "after", away)
 	}
 }
 
@@ -172,7 +173,7 @@
 	if c.Backends || c.Evacuations {
 		backends, evacuated := v.mirror.Backends(), v.mirror.Evacuated()
 		d := v.servers.update(backends)
-		v.log.Info("backend servers changed", "count", len(backends), "added", d.added, "removed", d.removed,
+		v.log.Info(message.ServersChanged, "count", len(backends), "added", d.added, "removed", d.removed,
 			"leaving", d.leaving, "evacuated", slices.Sorted(maps.Keys(evacuated)),
 			"revision", v.mirror.Revision(sassafrastray.TopicBackends))
 		v.places.do(func(t *placement.Table, now time.Time) { t.Update(backends, evacuated, now) })
@@ -189,7 +190,7 @@
 // configure puts the newest configuration in force.
 func (v *VM) configure(now time.Time) {
 	c := v.mirror.Config()
-	v.log.Info("configuration in force", "config", c.Number, "routes", len(c.Routes), "teams", len(c.Fleet.Teams),
+	v.log.Info(message.Configured, "config", c.Number, "routes", len(c.Routes), "teams", len(c.Fleet.Teams),
 		"revision", v.mirror.Revision(sassafrastray.TopicConfig))
 	v.metrics.config.Set(float64(c.Number))
 	v.places.do(func(t *placement.Table, _ time.Time) { t.Configure(c.Services) })
@@ -219,7 +220,7 @@
 	var done map[sassafrastray.ServiceName]sassafrastray.VersionName
 	entries := v.mirror.Rollouts()
 	for name, e := range entries {
-		v.log.Info("rollout", "service", name, "to", e.Rollout.To, "state", e.Rollout.State, "share", e.Rollout.Share, "revision", e.Revision)
+		v.log.Info(message.Rollout, "service", name, "to", e.Rollout.To, "state", e.Rollout.State, "share", e.Rollout.Share, "revision", e.Revision)
 	}
 	v.rollouts.do(func(d *canary.Desk, now time.Time) { done = d.Update(entries, now) })
 	v.places.do(func(t *placement.Table, _ time.Time) {
@@ -302,7 +303,7 @@
 			}
 			for _, b := range batches {
 				if c := v.mirror.Adopt(b, now); c.Config || c.Backends || c.Rollouts || c.Evacuations {
-					v.log.Info("copy of the store from another VM", "from", from.Name, "topic", b.Topic, "revision", b.Revision)
+					v.log.Info(message.StoreCopied, "from", from.Name, "topic", b.Topic, "revision", b.Revision)
 					v.changed(c, now)
 				}
 			}
@@ -352,7 +353,7 @@
 // is the first of those that would hear them.
 func (v *VM) retire(vms []sassafrastray.VM, now time.Time) {
 	for _, vm := range vms {
-		if vm.Name == v.self.Name || !v.known.gone(vm.Name, now) || !v.hears(vm) || !v.first(now, v.hears) {
+		if vm.Name == v.self.Name || !v.known.gone(vm.Name, now) || !v.members.Near(vm) || !v.first(now, v.members.Near) {
 			continue
 		}
 		v.spawn(func() {
--- a/internal/fleet/edge/lead.go
+++ b/internal/fleet/edge/lead.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sassafrastray"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/rollout/canary"
 )
 
@@ -48,7 +49,7 @@
 			v.log.Warn("rollout not written", append(args, "error", err.Error())...)
 			return
 		}
-		v.log.Info("rollout written", append(args, "written", revision)...)
+		v.log.Info(message.RolloutWritten, append(args, "written", revision)...)
 	})
 }
 
--- a/internal/fleet/edge/listen.go
+++ b/internal/fleet/edge/listen.go
@@ -16,6 +16,7 @@
 	"sassafrastray/internal/fleet/mirror"
 	"sassafrastray/internal/fleet/neighbor"
 	"sassafrastray/internal/limit/allotment"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/traffic/entry"
 	"sassafrastray/internal/traffic/placement"
 )
@@ -61,7 +62,7 @@
 	for _, t := range mirror.Followed {
 		go v.follow(t)
 	}
-	v.log.Info("serving", "domain", v.opt.VM.Domain, "callers", v.opt.VM.Callers, "inner", v.opt.VM.Inner)
+	v.log.Info(message.Serving, "domain", v.opt.VM.Domain, "callers", v.opt.VM.Callers, "inner", v.opt.VM.Inner)
 	select {
 	case <-ctx.Done():
 		v.drain(ls)
@@ -167,14 +168,6 @@
 	}
 	for _, m := range v.members.View(now) {
 		b := v.beats[m.VM.Name]
-		if b != nil && v.hears(m.VM) && v.silent[m.VM.Name] != m.Suspect {
-			v.silent[m.VM.Name] = m.Suspect
-			if m.Suspect {
-				v.log.Warn("VM not heard of any more", "peer", m.VM.Name, "domain", m.VM.Domain)
-			} else {
-				v.log.Info("VM heard of again", "peer", m.VM.Name, "domain", m.VM.Domain, "config", b.Config)
-			}
-		}
 		if m.VM.State != sassafrastray.Live || b == nil {
 			continue
 		}
@@ -187,6 +180,22 @@
 	v.noteNamed(directory.Name(n.vms, v.opt.Region, nil), ready)
 }
 
+// noteSilence writes which VMs are not heard of any more, and which are again.
+func (v *VM) noteSilence(now time.Time) {
+	for _, m := range v.members.View(now) {
+		b := v.beats[m.VM.Name]
+		if b == nil || !v.members.Near(m.VM) || v.silent[m.VM.Name] == m.Suspect {
+			continue
+		}
+		v.silent[m.VM.Name] = m.Suspect
+		if m.Suspect {
+			v.log.Warn(message.VMSilent, "peer", m.VM.Name, "domain", m.VM.Domain)
+		} else {
+			v.log.Info(message.VMHeard, "peer", m.VM.Name, "domain", m.VM.Domain, "config", b.Config)
+		}
+	}
+}
+
 // noteNamed tells the quotas and placement which VMs of the region callers are
 // sent to.
 func (v *VM) noteNamed(named []netip.AddrPort, ready bool) {
@@ -208,13 +217,13 @@
 func (v *VM) drain(ls *listener.Set) {
 	began := v.clock.Now()
 	end := began.Add(v.opt.Bounds.Grace - spareTime)
-	v.log.Info("draining", "until", end)
+	v.log.Info(message.Draining, "until", end)
 	v.ready.Store(false)
 	v.handler.Leave()
 	v.post(func(now time.Time) {
 		v.self.State = sassafrastray.Leaving
 		v.name(now)
-		v.beatAll(true, now)
+		v.beatTo(v.members.Urgent(), now)
 	})
 	time.Sleep(time.Duration(stopAccepting * float64(v.opt.Bounds.Grace)))
 	closed := make(chan struct{})
--- a/internal/fleet/edge/region.go
+++ b/internal/fleet/edge/region.go
@@ -1,12 +1,8 @@
 package edge
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sassafrastray"
 	"sassafrastray/internal/fleet/neighbor"
 	"sassafrastray/internal/limit/allotment"
@@ -14,14 +10,8 @@
 )
 
 const (
-	// directFleet is the number of VMs up to which all VMs speak to each other.
-	// In a larger fleet a VM speaks to those of its own region and to some of
-	// each other region, and the regions tell each other sums: the messages
-	// between regions then grow with the fleet and not with its square.
-	directFleet = 24
-
-	// partners is how many VMs of each other region a VM speaks to, so that
-	// one of them may be gone.
+	// partners is how many VMs of each other region a VM of a large fleet
+	// speaks to, so that one of them may be gone.
 	partners = 2
 
 	// avoidTime is how long a VM that did not answer is not spoken to as a
@@ -44,72 +34,20 @@
 	// many VMs it rests.
 	heard map[sassafrastray.RegionName]time.Time
 	vms   map[sassafrastray.RegionName]int
-	// failed is when a VM last did not answer.
-	failed map[sassafrastray.VMName]time.Time
 }
 
 func newRegions() *regions {
 	return &regions{
 		heard: make(map[sassafrastray.RegionName]time.Time), vms: make(map[sassafrastray.RegionName]int),
-		failed: make(map[sassafrastray.VMName]time.Time),
 	}
 }
 
-// large tells whether the fleet is too large for all VMs to speak to each other.
-func (v *VM) large() bool { return len(v.members.Known()) >= directFleet }
-
 func (v *VM) regionOf(vm sassafrastray.VM) sassafrastray.RegionName { return v.opt.Regions[vm.Domain] }
 
-// sum is the name under which quotas and rollouts keep the sum of a region.
-func sum(r sassafrastray.RegionName) sassafrastray.VMName { return "region/" + sassafrastray.VMName(r) }
-
-// speakTo returns the VMs of the next round of heartbeats: all of the own region
-// and the partners in others. Urgent news goes to the own region only; others
-// get it with the next sum.
-func (v *VM) speakTo(all []sassafrastray.VM, urgent bool, now time.Time) []sassafrastray.VM {
-	if !v.large() {
-		return all
-	}
-	var to []sassafrastray.VM
-	away := make(map[sassafrastray.RegionName][]sassafrastray.VM)
-	for _, m := range all {
-		if r := v.regionOf(m); r == v.opt.Region {
-			to = append(to, m)
-		} else {
-			away[r] = append(away[r], m)
-		}
-	}
-	if urgent {
-		return to
-	}
-	for _, list := range away {
-		to = append(to, v.partners(list, now)...)
-	}
-	return to
-}
-
-// partners returns the VMs of another region that this one speaks to. Each VM
-// has others, so that the messages spread, and keeps them while they answer.
-func (v *VM) partners(list []sassafrastray.VM, now time.Time) []sassafrastray.VM {
-	rank := func(m sassafrastray.VM) uint64 {
-		return xxhash.Sum64String(string(v.self.Name) + " " + string(m.Name))
-	}
-	avoided := func(m sassafrastray.VM) int {
-		if now.Sub(v.regions.failed[m.Name]) < avoidTime {
-			return 1
-		}
-		return 0
-	}
-	slices.SortFunc(list, func(a, b sassafrastray.VM) int {
-		return cmp.Or(cmp.Compare(avoided(a), avoided(b)), cmp.Compare(rank(a), rank(b)))
-	})
-	return list[:min(partners, len(list))]
-}
-
 // address turns a heartbeat into what a VM of the region is told: the VM's own
 // figures, or the sum of its region.
 func (v *VM) address(b neighbor.Beat, to sassafrastray.VM, now time.Time) neighbor.Beat {
-	if r := v.regionOf(to); r == "" || r == v.opt.Region || !v.large() {
+	if v.members.Near(to) {
 		return b
 	}
 	b.Uses, b.Evidence, b.Summary = nil, nil, v.summary(b, now)
@@ -121,23 +59,13 @@
 	if v.regions.own != nil && now.Sub(v.regions.made) < summaryAge {
 		return v.regions.own
 	}
-	s := &neighbor.Summary{Region: v.opt.Region, Uses: allotment.Uses{}}
-	var evidence []canary.Evidence
-	add := func(b *neighbor.Beat) {
-		s.VMs++
-		if b.Idle {
-			s.Idle++
-		}
-		for team, u := range b.Uses {
-			have := s.Uses[team]
-			s.Uses[team] = allotment.Use{Demand: have.Demand + u.Demand, Admitted: have.Admitted + u.Admitted}
-		}
-		evidence = append(evidence, b.Evidence)
-	}
-	add(&own)
+	s := &neighbor.Summary{Region: v.opt.Region}
+	evidence := []canary.Evidence{own.Evidence}
+	s.Add(own.Report())
 	for _, m := range v.members.View(now) {
-		if b := v.beats[m.VM.Name]; b != nil && !m.Suspect && v.regionOf(m.VM) == v.opt.Region {
-			add(b)
+		if b := v.beats[m.VM.Name]; b != nil && !m.Suspect && v.members.Near(m.VM) {
+			s.Add(b.Report())
+			evidence = append(evidence, b.Evidence)
 		}
 	}
 	s.Evidence = canary.Sum(evidence)
@@ -153,9 +81,9 @@
 	}
 	v.regions.heard[s.Region], v.regions.vms[s.Region] = now, s.VMs
 	v.quotas.do(func(q *allotment.Book, now time.Time) {
-		q.Heard(sum(s.Region), allotment.Report{Uses: s.Uses, VMs: s.VMs, Idle: s.Idle}, now)
+		q.Heard(s.Region.Source(), s.Report, now)
 	})
-	v.rollouts.do(func(d *canary.Desk, _ time.Time) { d.Heard(sum(s.Region), s.Evidence) })
+	v.rollouts.do(func(d *canary.Desk, _ time.Time) { d.Heard(s.Region.Source(), s.Evidence) })
 }
 
 // summed tells whether the figures of a VM come with the sum of its region.
@@ -166,33 +94,33 @@
 // count tells the quotas of all VMs that may admit requests: one by one, or in a
 // large fleet those of other regions together.
 func (v *VM) count(others []sassafrastray.VM) {
-	large := v.large()
 	away := make(map[sassafrastray.RegionName]int)
+	for _, m := range others {
+		if !v.members.Near(m) {
+			away[v.regionOf(m)]++
+		}
+	}
 	v.quotas.do(func(q *allotment.Book, _ time.Time) {
 		for _, m := range others {
-			r := v.regionOf(m)
-			if !large || r == v.opt.Region {
-				q.Known(m.Name, 1)
-				continue
+			if v.members.Near(m) {
+				q.Known(m.Name.Source(), 1)
+			} else {
+				q.Forget(m.Name.Source())
 			}
-			q.Forget(m.Name)
-			away[r]++
 		}
 		for _, r := range v.opt.Regions {
 			if n := away[r]; n > 0 {
-				q.Known(sum(r), n)
+				q.Known(r.Source(), n)
 			} else {
-				q.Forget(sum(r))
+				q.Forget(r.Source())
 			}
 		}
 	})
-	if large {
-		v.rollouts.do(func(d *canary.Desk, _ time.Time) {
-			for _, m := range others {
-				if v.regionOf(m) != v.opt.Region {
-					d.Forget(m.Name)
-				}
+	v.rollouts.do(func(d *canary.Desk, _ time.Time) {
+		for _, m := range others {
+			if !v.members.Near(m) {
+				d.Forget(m.Name.Source())
 			}
-		})
-	}
+		}
+	})
 }
--- a/internal/fleet/edge/region_test.go
+++ b/internal/fleet/edge/region_test.go
@@ -61,10 +61,10 @@
 // round lets each VM speak to those that it would, except for those cut off.
 func round(vms map[sassafrastray.VMName]*VM, cut func(a, b *VM) bool, now time.Time) (messages int) {
 	for _, v := range vms {
-		for _, to := range v.speakTo(v.members.Tick(now), false, now) {
+		for _, to := range v.members.Tick(now) {
 			o := vms[to.Name]
 			if o == nil || cut(v, o) {
-				v.regions.failed[to.Name] = now
+				v.members.Unanswered(to.Name, now)
 				continue
 			}
 			messages++
@@ -96,7 +96,7 @@
 		vms, clock := fleetVMs(t, c.each)
 		for name, v := range vms {
 			own, away := 0, 0
-			for _, to := range v.speakTo(v.members.Tick(clock.now), false, clock.now) {
+			for _, to := range v.members.Tick(clock.now) {
 				if v.regionOf(to) == v.opt.Region {
 					own++
 				} else {
@@ -117,13 +117,13 @@
 	v := vms["vm-r0-0-00"]
 	gone := map[sassafrastray.VMName]bool{}
 	for range 3 {
-		for _, to := range v.speakTo(v.members.Tick(clock.now), false, clock.now) {
+		for _, to := range v.members.Tick(clock.now) {
 			if v.regionOf(to) == "r1" {
 				if gone[to.Name] {
 					t.Errorf("%s is spoken to again although it did not answer", to.Name)
 				}
 				gone[to.Name] = true
-				v.regions.failed[to.Name] = clock.now
+				v.members.Unanswered(to.Name, clock.now)
 			}
 		}
 		clock.now = clock.now.Add(time.Second)
@@ -206,12 +206,12 @@
 func TestBetterSumWins(t *testing.T) {
 	vms, clock := fleetVMs(t, 10)
 	v := vms["vm-r0-0-00"]
-	v.hearRegion(&neighbor.Summary{Region: "r1", VMs: 20}, clock.now)
-	v.hearRegion(&neighbor.Summary{Region: "r1", VMs: 1}, clock.now.Add(time.Second))
+	v.hearRegion(&neighbor.Summary{Region: "r1", Report: allotment.Report{VMs: 20}}, clock.now)
+	v.hearRegion(&neighbor.Summary{Region: "r1", Report: allotment.Report{VMs: 1}}, clock.now.Add(time.Second))
 	if n := v.regions.vms["r1"]; n != 20 {
 		t.Errorf("the sum rests on %d VMs, want 20", n)
 	}
-	v.hearRegion(&neighbor.Summary{Region: "r1", VMs: 1}, clock.now.Add(3*time.Second))
+	v.hearRegion(&neighbor.Summary{Region: "r1", Report: allotment.Report{VMs: 1}}, clock.now.Add(3*time.Second))
 	if n := v.regions.vms["r1"]; n != 1 {
 		t.Errorf("the old sum of %d VMs is still used", n)
 	}
--- a/internal/fleet/member/relay.go
+++ b/internal/fleet/member/relay.go
@@ -54,9 +54,8 @@
 	return cmp.Or(cmp.Compare(m.Number, o.Number), cmp.Compare(m.Sum, o.Sum)) > 0
 }
 
-// Sparse reports whether the fleet is too large for every VM to send
-// heartbeats to every other.
-func (t *Table) Sparse() bool { return len(t.entries) >= t.opt.Direct }
+// Sparse reports whether the fleet is large and heartbeats arrive through others.
+func (t *Table) Sparse() bool { return t.Large() && t.opt.Regions == nil }
 
 // Writes reports whether this VM is the one that writes the summary of its
 // failure domain: the first delegate or, if the summary stands still, another
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -42,6 +42,16 @@
 		// Stall is how long a summary stands still before another delegate
 		// writes it.
 		Stall time.Duration
+		// Regions has the region of each failure domain. If it is set, a fleet
+		// beyond Direct is not sparse: a VM speaks to all VMs of its region
+		// and to so many Partners in each other region, and not to one that
+		// did not answer within Avoid while others are there.
+		Regions  map[sassafrastray.DomainName]sassafrastray.RegionName
+		Partners int
+		Avoid    time.Duration
+		// Quiet is how long after a heartbeat of a VM, or its answer, none is
+		// sent to it; zero sends always. It does not hold in a sparse fleet.
+		Quiet time.Duration
 	}
 
 	// Beat is the part of a heartbeat that the table reads.
@@ -68,6 +78,8 @@
 		heard time.Time
 		// failed is set from a failed connection to the next heartbeat.
 		failed bool
+		// unanswered is when a heartbeat to the VM last had no answer.
+		unanswered time.Time
 		// retired tells that the platform's latest list has the VM leaving.
 		// The list may mean an earlier process of the VM, so it counts only
 		// until the next list.
@@ -186,29 +198,24 @@
 		t.silentUntil = now.Add(t.suspect())
 	}
 	t.ticked = now
-	all := t.sorted()
 	if !t.Sparse() {
-		return vms(all)
+		return t.targets(now)
 	}
-	return t.sparse(all, now)
+	return t.sparse(t.sorted(), now)
 }
 
 // Rank returns how many live VMs of the failure domain come before this VM
 // when one or a few are to act for all.
 func (t *Table) Rank(now time.Time) int {
-	var mates []*entry
-	for _, e := range t.entries {
-		if e.beat.VM.Domain == t.self.Domain {
-			mates = append(mates, e)
-		}
-	}
-	return t.above(mates, now)
+	return t.RankAmong(func(sassafrastray.VMName) bool { return true }, now)
 }
 
-func (t *Table) above(mates []*entry, now time.Time) int {
+// RankAmong is Rank among the VMs that are able to act.
+func (t *Table) RankAmong(able func(sassafrastray.VMName) bool, now time.Time) int {
 	own, n := rank(t.self.Name), 0
-	for _, e := range mates {
-		if t.alive(e, now) && rank(e.beat.VM.Name) > own {
+	for _, e := range t.entries {
+		vm := e.beat.VM
+		if vm.Domain == t.self.Domain && t.alive(e, now) && rank(vm.Name) > own && able(vm.Name) {
 			n++
 		}
 	}
--- a/internal/fleet/neighbor/neighbor.go
+++ b/internal/fleet/neighbor/neighbor.go
@@ -73,11 +73,7 @@
 	// Summary is what the VMs of one region tell together.
 	Summary struct {
 		Region sassafrastray.RegionName `json:"region"`
-		// VMs is how many of them are heard of, and Idle how many of those
-		// callers are not sent to.
-		VMs      int             `json:"vms"`
-		Idle     int             `json:"idle,omitempty"`
-		Uses     allotment.Uses  `json:"uses,omitempty"`
+		allotment.Report
 		Evidence canary.Evidence `json:"evidence,omitempty"`
 	}
 
@@ -104,6 +100,15 @@
 	return member.Beat{VM: b.VM, Incarnation: b.Inc, Sequence: b.Sequence, Config: b.Config}
 }
 
+// Report returns the part of the heartbeat that quotas read.
+func (b *Beat) Report() allotment.Report {
+	r := allotment.Report{Uses: b.Uses, VMs: 1}
+	if b.Idle {
+		r.Idle = 1
+	}
+	return r
+}
+
 // New returns a client that uses the pool's connections.
 func New(pool *upstream.Pool, clock sassafrastray.Clock) *Client {
 	return &Client{pool: pool, clock: clock}
--- a/internal/fleet/vm/config.go
+++ b/internal/fleet/vm/config.go
@@ -10,8 +10,10 @@
 	"github.com/cockroachdb/errors"
 
 	"sassafrastray"
+	"sassafrastray/internal/fleet/member"
 	"sassafrastray/internal/operator/config"
 	"sassafrastray/internal/operator/key"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/traffic/lookup"
 	"sassafrastray/internal/traffic/route"
 )
@@ -21,10 +23,6 @@
 	// each wait confirms that the configuration is the newest.
 	watchWait = 3 * time.Second
 
-	// watchers is how many VMs of a failure domain watch the store. The
-	// others learn from them.
-	watchers = 2
-
 	// kept is how many configurations a VM remembers, to make differences
 	// for VMs that are a few behind.
 	kept = 4
@@ -122,7 +120,7 @@
 // domain's watchers.
 func (v *VM) watching() bool {
 	answer := make(chan bool, 1)
-	if !v.post(func(now time.Time) { answer <- v.members.Rank(now) < watchers }) {
+	if !v.post(func(now time.Time) { answer <- v.members.Rank(now) < member.Watchers }) {
 		return false
 	}
 	select {
@@ -209,7 +207,7 @@
 	v.conf.table = tableFor(old, c, v.conf.table)
 	v.metrics.config.Set(float64(c.Number))
 	v.news = extraRounds
-	v.log.Info("configuration in force", "number", c.Number, "publish", c.Publish, "source", source)
+	v.log.Info(message.Configured, "number", c.Number, "publish", c.Publish, "source", source)
 	v.configure(now)
 }
 
--- a/internal/fleet/vm/relay.go
+++ b/internal/fleet/vm/relay.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sassafrastray"
+	"sassafrastray/internal/fleet/member"
 	"sassafrastray/internal/fleet/peer"
 	"sassafrastray/internal/traffic/keeper"
 )
@@ -29,7 +30,7 @@
 // readsList reports whether it is time to read the platform's list. In a large
 // fleet the watchers of each failure domain read it for the others.
 func (v *VM) readsList(now time.Time) bool {
-	if v.members.Sparse() && v.members.Rank(now) >= watchers {
+	if v.members.Sparse() && v.members.Rank(now) >= member.Watchers {
 		return v.every("list rarely", listRarely, now)
 	}
 	return v.every("list", listEvery, now)
--- a/internal/fleet/vm/serve.go
+++ b/internal/fleet/vm/serve.go
@@ -11,6 +11,7 @@
 	"sassafrastray/internal/fleet/listener"
 	"sassafrastray/internal/fleet/peer"
 	"sassafrastray/internal/limit/place"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/traffic/entry"
 )
 
@@ -46,7 +47,7 @@
 	go v.control()
 	go v.watchConfig()
 	go v.watchMoves()
-	v.log.Info("serving", "domain", v.self.Domain, "callers", v.self.Callers,
+	v.log.Info(message.Serving, "domain", v.self.Domain, "callers", v.self.Callers,
 		"inner", v.self.Inner, "operations", v.set.Operations)
 	select {
 	case <-ctx.Done():
@@ -98,7 +99,7 @@
 // noticed, and lets what is under way end.
 func (v *VM) drain() {
 	end := v.clock.Now().Add(v.set.Timing.Drain)
-	v.log.Info("draining", "until", end)
+	v.log.Info(message.Draining, "until", end)
 	v.post(func(now time.Time) {
 		v.state, v.news = sassafrastray.Leaving, extraRounds
 		v.publish(now)
--- a/internal/limit/allotment/allotment.go
+++ b/internal/limit/allotment/allotment.go
@@ -142,7 +142,7 @@
 	Book struct {
 		opt   Options
 		teams map[sassafrastray.TeamName]*team
-		peers map[sassafrastray.VMName]*peer
+		peers map[sassafrastray.Source]*peer
 		// told is what the latest heartbeat said of this VM's demand; tells has
 		// it and the earlier ones that are not confirmed, the oldest first.
 		told  Uses
@@ -164,10 +164,11 @@
 
 	// Report is what a VM, or the VMs of a region together, tell.
 	Report struct {
-		Uses Uses
+		Uses Uses `json:"uses,omitempty"`
 		// VMs is the number of VMs, and Idle how many of them callers are not
 		// sent to.
-		VMs, Idle int
+		VMs  int `json:"vms"`
+		Idle int `json:"idle,omitempty"`
 	}
 
 	// peer is another VM, or those of another region.
@@ -202,11 +203,24 @@
 // refresh is how long a computed share is used.
 const refresh = 200 * time.Millisecond
 
+// Add adds what other VMs tell.
+func (r *Report) Add(o Report) {
+	if r.Uses == nil {
+		r.Uses = make(Uses, len(o.Uses))
+	}
+	for team, u := range o.Uses {
+		have := r.Uses[team]
+		r.Uses[team] = Use{Demand: have.Demand + u.Demand, Admitted: have.Admitted + u.Admitted}
+	}
+	r.VMs += o.VMs
+	r.Idle += o.Idle
+}
+
 // New returns a book of a VM that knows no other.
 func New(opt Options) *Book {
 	return &Book{
 		opt: opt, teams: make(map[sassafrastray.TeamName]*team),
-		peers: make(map[sassafrastray.VMName]*peer), told: Uses{},
+		peers: make(map[sassafrastray.Source]*peer), told: Uses{},
 	}
 }
 
@@ -255,7 +269,7 @@
 }
 
 // Heard takes in what teams ask of another VM, or of the VMs of a region.
-func (b *Book) Heard(from sassafrastray.VMName, r Report, now time.Time) {
+func (b *Book) Heard(from sassafrastray.Source, r Report, now time.Time) {
 	known := r.VMs
 	if p := b.peers[from]; p != nil {
 		known = max(known, p.known)
@@ -264,13 +278,13 @@
 }
 
 // Forget drops a VM or region whose figures others tell now.
-func (b *Book) Forget(from sassafrastray.VMName) { delete(b.peers, from) }
+func (b *Book) Forget(from sassafrastray.Source) { delete(b.peers, from) }
 
 // Idle tells whether callers are sent to this VM.
 func (b *Book) Idle(idle bool) { b.idle = idle }
 
 // Known tells of VMs that may admit requests, whether or not they were heard of.
-func (b *Book) Known(from sassafrastray.VMName, vms int) {
+func (b *Book) Known(from sassafrastray.Source, vms int) {
 	if b.peers[from] == nil {
 		b.peers[from] = &peer{}
 	}
@@ -349,7 +363,7 @@
 	if !b.idle {
 		busy = 1
 	}
-	for vm, p := range b.peers {
+	for from, p := range b.peers {
 		switch age := now.Sub(p.heard); {
 		case age <= silent:
 			u := p.Uses[name]
@@ -360,7 +374,7 @@
 			cut += max(0, p.known-p.VMs)
 			t.age = max(t.age, age)
 		case age > forget && !p.heard.IsZero():
-			delete(b.peers, vm)
+			delete(b.peers, from)
 		default:
 			cut += p.known
 		}
--- a/internal/limit/allotment/allotment_test.go
+++ b/internal/limit/allotment/allotment_test.go
@@ -72,7 +72,7 @@
 	w.books[name] = b
 	for _, known := range w.names {
 		if known != name {
-			b.Known(known, 1)
+			b.Known(known.Source(), 1)
 		}
 	}
 	w.dead[name] = false
@@ -101,7 +101,7 @@
 		case w.now.Before(l.at):
 			rest = append(rest, l)
 		case !w.dead[l.to] && w.cut[l.from] == w.cut[l.to]:
-			w.books[l.to].Heard(l.from, Report{Uses: l.uses, VMs: 1, Idle: w.idle[l.from]}, w.now)
+			w.books[l.to].Heard(l.from.Source(), Report{Uses: l.uses, VMs: 1, Idle: w.idle[l.from]}, w.now)
 		}
 	}
 	w.late = rest
--- a/internal/operator/logbook/handler.go
+++ b/internal/operator/logbook/handler.go
@@ -15,22 +15,15 @@
 		state         *limits
 	}
 
-	// limits are the tokens of each level, and of each class of lines within it,
-	// so that a flood of one class leaves room for the others. They are shared
-	// by all handlers of one call of Handler.
+	// limits are the tokens of each level, and of each class of lines within
+	// it, so that a flood of one class leaves room for the others. They are
+	// shared by all handlers of one call of Handler.
 	limits struct {
 		mu     sync.Mutex
 		perSec float64
-		tokens map[class]float64
+		tokens map[kind]float64
 		filled time.Time
 	}
-
-	// class is what lines share that are limited together; without a message
-	// it is a whole level.
-	class struct {
-		level           slog.Level
-		message, reason string
-	}
 )
 
 // classPart is the part of a level's lines that one class may have.
@@ -42,7 +35,7 @@
 	opt := &slog.HandlerOptions{Level: level}
 	return &handler{
 		urgent: b.format(queue{b, true}, opt), usual: b.format(queue{b, false}, opt),
-		book: b, state: &limits{perSec: perSecond, tokens: make(map[class]float64)},
+		book: b, state: &limits{perSec: perSecond, tokens: make(map[kind]float64)},
 	}
 }
 
@@ -56,7 +49,7 @@
 func (h *handler) Handle(_ context.Context, r slog.Record) error {
 	if r.Level < slog.LevelError {
 		k := kindOf(r)
-		if !h.state.take(class{r.Level, k.message, k.reason}, r.Time) {
+		if !h.state.take(k.class(), r.Time) {
 			h.book.leave(k)
 			return nil
 		}
@@ -80,7 +73,7 @@
 }
 
 // take takes a token of the class and one of its level, if both have one.
-func (s *limits) take(of class, now time.Time) bool {
+func (s *limits) take(of kind, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if d := now.Sub(s.filled); d > 0 {
@@ -90,8 +83,8 @@
 		}
 	}
 	s.filled = now
-	level := class{level: of.level}
-	for _, k := range []class{of, level} {
+	level := of.whole()
+	for _, k := range []kind{of, level} {
 		if _, ok := s.tokens[k]; !ok {
 			s.tokens[k] = s.most(k)
 		}
@@ -105,8 +98,8 @@
 }
 
 // most returns how many lines a second may have.
-func (s *limits) most(of class) float64 {
-	if of.message == "" {
+func (s *limits) most(of kind) float64 {
+	if of.text == "" {
 		return s.perSec
 	}
 	return classPart * s.perSec
--- a/internal/operator/logbook/logbook.go
+++ b/internal/operator/logbook/logbook.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// buffer bounds the bytes of each of the two buffers. Sixteen times that
-	// is what a VM logs in a second at the usual bound of lines.
+	// buffer bounds the bytes of each of the two buffers. A line has 500 to 800
+	// bytes, so that it holds some seconds of the usual bound of lines.
 	buffer = 512 << 10
 
 	// chunk bounds the bytes of one write; a pipe takes as much at once.
--- a/internal/operator/logbook/logbook_test.go
+++ b/internal/operator/logbook/logbook_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"sassafrastray/internal/operator/message"
 )
 
 type (
@@ -73,7 +75,7 @@
 	}
 	var reported int64
 	for _, l := range parse(t, strings.ReplaceAll(s, text, "")) {
-		if l.Message == lostLines {
+		if l.Message == message.Lost {
 			reported += int64(l.Count)
 		}
 	}
@@ -123,7 +125,7 @@
 	if n := strings.Count(s, `"refused"`); n != 100 {
 		t.Errorf("%d failures written, want 100", n)
 	}
-	if n := strings.Count(s, lostLines); n == 0 {
+	if n := strings.Count(s, message.Lost); n == 0 {
 		t.Error("what was lost is not reported")
 	}
 }
@@ -155,7 +157,7 @@
 	numbers := map[uint64]bool{}
 	for _, l := range parse(t, out.String()) {
 		seen[l.Message+l.Reason]++
-		if l.Message == leftOut {
+		if l.Message == message.LeftOut {
 			left[l.Of+l.Reason] += l.Count
 		}
 		if numbers[l.Line] {
@@ -184,7 +186,7 @@
 	b := New(io.Discard, JSON)
 	defer b.Close()
 	for i := range 10 * kinds {
-		b.leave(kind{message: strings.Repeat("m", i)})
+		b.leave(kind{text: strings.Repeat("m", i)})
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -195,11 +197,11 @@
 
 // TestRefills checks that a later second has its own lines.
 func TestRefills(t *testing.T) {
-	l := &limits{perSec: 4, tokens: map[class]float64{}}
+	l := &limits{perSec: 4, tokens: map[kind]float64{}}
 	now := time.Now()
 	got := 0
 	for _, at := range []time.Duration{0, 0, 0, 500 * time.Millisecond, 500 * time.Millisecond, 3 * time.Second, 3 * time.Second, 3 * time.Second} {
-		if l.take(class{slog.LevelInfo, "answered", ""}, now.Add(at)) {
+		if l.take(kind{level: slog.LevelInfo, text: "answered"}, now.Add(at)) {
 			got++
 		}
 	}
--- a/internal/operator/logbook/summary.go
+++ b/internal/operator/logbook/summary.go
@@ -4,30 +4,32 @@
 	"context"
 	"log/slog"
 	"time"
-)
-
-const (
-	// kinds bounds the kinds of lines that are counted apart in a second; all
-	// others are counted together.
-	kinds = 64
 
-	// leftOut and lostLines are the messages of summaries.
-	leftOut   = "lines left out"
-	lostLines = "lines lost: the output is too slow"
+	"sassafrastray/internal/operator/message"
 )
 
+// kinds bounds the kinds of lines that are counted apart in a second; all others
+// of a level are counted together.
+const kinds = 64
+
 // telling are the attributes by which lines that were left out are counted.
 var telling = map[string]bool{"reason": true, "service": true, "team": true}
 
-// kind is what lines that are counted together have in common.
+// kind is what lines that are counted together have in common. Without service
+// and team it is a class of lines that are limited together, and without a text
+// the whole level.
 type kind struct {
-	level                          slog.Level
-	message, reason, service, team string
+	level                       slog.Level
+	text, reason, service, team string
 }
 
+func (k kind) class() kind { return kind{level: k.level, text: k.text, reason: k.reason} }
+
+func (k kind) whole() kind { return kind{level: k.level} }
+
 // kindOf returns the kind of a record.
 func kindOf(r slog.Record) kind {
-	k := kind{level: r.Level, message: r.Message}
+	k := kind{level: r.Level, text: r.Message}
 	r.Attrs(func(a slog.Attr) bool {
 		if !telling[a.Key] {
 			return true
@@ -50,7 +52,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, ok := b.left[k]; !ok && len(b.left) >= kinds {
-		k = kind{level: k.level}
+		k = k.whole()
 	}
 	b.left[k]++
 	b.dropped++
@@ -68,8 +70,8 @@
 	b.lost = 0
 	b.mu.Unlock()
 	for k, n := range left {
-		r := slog.NewRecord(now, k.level, leftOut, 0)
-		r.AddAttrs(slog.String("of", k.message), slog.Int("count", n))
+		r := slog.NewRecord(now, k.level, message.LeftOut, 0)
+		r.AddAttrs(slog.String("of", k.text), slog.Int("count", n))
 		for _, a := range []slog.Attr{slog.String("reason", k.reason), slog.String("service", k.service), slog.String("team", k.team)} {
 			if a.Value.String() != "" {
 				r.AddAttrs(a)
@@ -78,7 +80,7 @@
 		b.put(to, r)
 	}
 	if lost > 0 {
-		r := slog.NewRecord(now, slog.LevelWarn, lostLines, 0)
+		r := slog.NewRecord(now, slog.LevelWarn, message.Lost, 0)
 		r.AddAttrs(slog.Int("count", lost))
 		b.put(to, r)
 	}
--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"sassafrastray/internal/operator/message"
 )
 
 // cause says in a sentence or two why the request ended as it did.
@@ -12,15 +14,15 @@
 	if end == nil {
 		return "The line about the request's end is missing: it was left out or lost, or the VM died."
 	}
-	if end.Message == answered {
+	if end.Message == message.Answered {
 		return fmt.Sprintf("Answered with status %d by %s after %d tries in %v.%s",
 			end.number("status"), end.text("backend"), end.number("tries"), end.duration("took").Round(time.Millisecond), s.earlier())
 	}
 	parts := []string{end.refusal(s.backend())}
-	if s.has(away) {
+	if s.has(message.StoreAway) {
 		parts = append(parts, "The VM did not reach the store, so what it knew of backend servers and teams may have been old.")
 	}
-	if s.has(still) && s.Steps[0].Message == still {
+	if s.has(message.StoodStill) && s.Steps[0].Message == message.StoodStill {
 		parts = append(parts, "The VM had been suspended.")
 	}
 	for _, step := range s.Steps {
@@ -45,7 +47,7 @@
 // end returns the line about the request's end, or nil.
 func (s *Story) end() *Line {
 	for i := range s.Steps {
-		if l := &s.Steps[i].Line; s.Steps[i].Role == Own && (l.Message == answered || l.Message == refused) {
+		if l := &s.Steps[i].Line; s.Steps[i].Role == Own && (l.Message == message.Answered || l.Message == message.Refused) {
 			return l
 		}
 	}
@@ -65,7 +67,7 @@
 func (s *Story) earlier() string {
 	var b strings.Builder
 	for i := range s.Steps {
-		if l := &s.Steps[i].Line; l.Message == tryFailed && s.Steps[i].Role == Own {
+		if l := &s.Steps[i].Line; l.Message == message.TryFailed && s.Steps[i].Role == Own {
 			fmt.Fprintf(&b, " Try %d at %s failed (%s).", l.number("try"), l.text("backend"), l.text("reason"))
 		}
 	}
--- a/internal/operator/trace/line.go
+++ b/internal/operator/trace/line.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"sassafrastray/internal/operator/message"
 )
 
 // longest bounds a line in bytes; a longer one is an error.
@@ -67,7 +69,7 @@
 // missing returns how many lines this one says were not written.
 func (l *Line) missing() int {
 	switch l.Message {
-	case leftOut, lost:
+	case message.LeftOut, message.Lost:
 		return int(l.number("count"))
 	}
 	return 0
--- a/internal/operator/trace/story.go
+++ b/internal/operator/trace/story.go
@@ -5,32 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-)
 
-// Messages that the story of a request reads.
-const (
-	answered   = "answered"
-	refused    = "refused"
-	tryFailed  = "try failed"
-	retried    = "retry"
-	placed     = "placement"
-	routed     = "routing"
-	configured = "configuration in force"
-	changed    = "backend servers changed"
-	omitted    = "backend server left out"
-	used       = "backend server used again"
-	rollout    = "rollout"
-	written    = "rollout written"
-	copied     = "copy of the store from another VM"
-	away       = "the store is not reached"
-	back       = "the store is reached again"
-	silent     = "VM not heard of any more"
-	again      = "VM heard of again"
-	still      = "the VM stood still"
-	draining   = "draining"
-	serving    = "serving"
-	leftOut    = "lines left out"
-	lost       = "lines lost: the output is too slow"
+	"sassafrastray/internal/operator/message"
 )
 
 // Roles of lines in a story.
@@ -124,54 +100,54 @@
 
 // last returns the latest line of own's run before it that matches, or nil.
 func (c *collector) last(own *Line, match func(*Line) bool) *Line {
-	var best *Line
-	for i := range c.log.Lines {
-		l := &c.log.Lines[i]
-		if l.sameRun(own) && l.before(own) && match(l) && (best == nil || best.before(l)) {
-			best = l
-		}
-	}
-	return best
+	return c.best(own, func(l *Line) bool { return l.before(own) && match(l) }, func(l, best *Line) bool { return best.before(l) })
 }
 
 // next returns the first line of own's run after it that matches, or nil.
 func (c *collector) next(own *Line, match func(*Line) bool) *Line {
+	return c.best(own, func(l *Line) bool { return own.before(l) && match(l) }, func(l, best *Line) bool { return l.before(best) })
+}
+
+// best returns the line of own's run that matches and is better than all others.
+func (c *collector) best(own *Line, match func(*Line) bool, better func(l, best *Line) bool) *Line {
 	var best *Line
 	for i := range c.log.Lines {
 		l := &c.log.Lines[i]
-		if l.sameRun(own) && own.before(l) && match(l) && (best == nil || l.before(best)) {
+		if l.sameRun(own) && match(l) && (best == nil || better(l, best)) {
 			best = l
 		}
 	}
 	return best
 }
 
-func message(names ...string) func(*Line) bool {
+func said(names ...string) func(*Line) bool {
 	return func(l *Line) bool { return slices.Contains(names, l.Message) }
 }
 
 // open adds the latest of two messages if it is the first of them: the state
-// that it begins had not ended.
-func (c *collector) open(own *Line, begin, end string) {
-	if l := c.last(own, message(begin, end)); l != nil && l.Message == begin {
-		c.add(l, Belief)
+// that it begins had not ended. It reports whether that is so.
+func (c *collector) open(own *Line, begin, end string) bool {
+	l := c.last(own, said(begin, end))
+	if l == nil || l.Message != begin {
+		return false
 	}
+	c.add(l, Belief)
+	return true
 }
 
 // beliefs adds what the VM held when it wrote the line.
 func (c *collector) beliefs(own *Line) {
 	config, service := own.number("config"), own.text("service")
 	c.add(c.last(own, func(l *Line) bool {
-		return l.Message == configured && (config == 0 || l.number("config") == config)
+		return l.Message == message.Configured && (config == 0 || l.number("config") == config)
 	}), Belief)
-	c.open(own, away, back)
-	if c.roles[c.last(own, message(away, back))] == Belief {
-		c.add(c.last(own, message(copied)), Belief)
+	if c.open(own, message.StoreAway, message.StoreBack) {
+		c.add(c.last(own, said(message.StoreCopied)), Belief)
 	}
-	c.open(own, draining, serving)
-	c.add(c.last(own, message(still)), Belief)
+	c.open(own, message.Draining, message.Serving)
+	c.add(c.last(own, said(message.StoodStill)), Belief)
 	if service != "" {
-		c.add(c.last(own, func(l *Line) bool { return l.Message == rollout && l.text("service") == service }), Belief)
+		c.add(c.last(own, func(l *Line) bool { return l.Message == message.Rollout && l.text("service") == service }), Belief)
 	}
 	if own.text("reason") == "quota" {
 		c.silences(own)
@@ -187,15 +163,15 @@
 	peers := make(map[string]bool)
 	for i := range c.log.Lines {
 		l := &c.log.Lines[i]
-		if l.sameRun(own) && l.Message == silent {
+		if l.sameRun(own) && l.Message == message.VMSilent {
 			peers[l.text("peer")] = true
 		}
 	}
 	for peer := range peers {
 		l := c.last(own, func(l *Line) bool {
-			return (l.Message == silent || l.Message == again) && l.text("peer") == peer
+			return (l.Message == message.VMSilent || l.Message == message.VMHeard) && l.text("peer") == peer
 		})
-		if l != nil && l.Message == silent {
+		if l != nil && l.Message == message.VMSilent {
 			c.add(l, Belief)
 		}
 	}
@@ -204,19 +180,19 @@
 // server adds what the VM knew of a backend server, and what it learned next.
 func (c *collector) server(own *Line, name string) {
 	c.add(c.last(own, func(l *Line) bool {
-		return l.Message == changed && (l.names("added", name) || l.names("leaving", name) || l.names("removed", name))
+		return l.Message == message.ServersChanged && (l.names("added", name) || l.names("leaving", name) || l.names("removed", name))
 	}), Belief)
 	c.add(c.last(own, func(l *Line) bool {
-		return (l.Message == omitted || l.Message == used) && l.text("backend") == name
+		return (l.Message == message.ServerLeftOut || l.Message == message.ServerUsed) && l.text("backend") == name
 	}), Belief)
-	if own.Message == answered {
+	if own.Message == message.Answered {
 		return
 	}
 	soon := func(l *Line) bool { return l.Time.Sub(own.Time) < laterTime }
 	c.add(c.next(own, func(l *Line) bool {
-		return l.Message == changed && (l.names("leaving", name) || l.names("removed", name)) && soon(l)
+		return l.Message == message.ServersChanged && (l.names("leaving", name) || l.names("removed", name)) && soon(l)
 	}), Later)
-	c.add(c.next(own, func(l *Line) bool { return l.Message == omitted && l.text("backend") == name && soon(l) }), Later)
+	c.add(c.next(own, func(l *Line) bool { return l.Message == message.ServerLeftOut && l.text("backend") == name && soon(l) }), Later)
 }
 
 // sources adds the lines of other VMs from which beliefs came.
@@ -236,15 +212,15 @@
 		return false
 	}
 	switch {
-	case o.Message == rollout && l.Message == written:
+	case o.Message == message.Rollout && l.Message == message.RolloutWritten:
 		return l.number("written") == o.number("revision") && l.text("service") == o.text("service")
-	case o.Message == copied && l.Message == configured:
+	case o.Message == message.StoreCopied && l.Message == message.Configured:
 		return l.VM == o.text("from") && l.number("revision") == o.number("revision")
-	case o.Message == copied && l.Message == changed:
+	case o.Message == message.StoreCopied && l.Message == message.ServersChanged:
 		return l.VM == o.text("from") && l.number("revision") == o.number("revision")
 	case l.text("request") != "" && l.text("request") == o.text("request"):
 		// The VM that the caller spoke to decides first, on where to go.
-		return (l.Message == routed || l.Message == retried) && o.Message == placed
+		return (l.Message == message.Routed || l.Message == message.Retried) && o.Message == message.Placed
 	}
 	return false
 }
@@ -265,9 +241,9 @@
 				continue
 			}
 			switch line.Message {
-			case answered:
+			case message.Answered:
 				s.Tries++
-			case tryFailed:
+			case message.TryFailed:
 				s.Tries++
 				s.Failed++
 			}
--- a/internal/rollout/canary/canary.go
+++ b/internal/rollout/canary/canary.go
@@ -102,7 +102,7 @@
 		debt float64
 		own  map[sassafrastray.RouteName]*Row
 		// heard are the rows of other VMs.
-		heard map[sassafrastray.VMName][]Row
+		heard map[sassafrastray.Source][]Row
 		// servers is how many backend servers of the new version are ready.
 		servers int
 		bad     string
@@ -134,7 +134,7 @@
 	for name, e := range rollouts {
 		m := d.moves[name]
 		if m == nil || m.order.To != e.Rollout.To || m.order.Within != e.Rollout.Within || restarted(m.order, *e.Rollout) {
-			m = &move{since: now, own: make(map[sassafrastray.RouteName]*Row), heard: make(map[sassafrastray.VMName][]Row)}
+			m = &move{since: now, own: make(map[sassafrastray.RouteName]*Row), heard: make(map[sassafrastray.Source][]Row)}
 			d.moves[name] = m
 		}
 		before := m.order
@@ -224,23 +224,23 @@
 	return e
 }
 
-// Heard takes in what another VM saw.
-func (d *Desk) Heard(vm sassafrastray.VMName, e Evidence) {
+// Heard takes in what another VM saw, or those of a region.
+func (d *Desk) Heard(from sassafrastray.Source, e Evidence) {
 	rows := make(map[sassafrastray.ServiceName][]Row)
 	for _, r := range e {
 		rows[r.Service] = append(rows[r.Service], r)
 	}
 	for name, list := range rows {
 		if m := d.moves[name]; m != nil && list[0].To == m.order.To {
-			m.heard[vm] = list
+			m.heard[from] = list
 		}
 	}
 }
 
-// Forget drops what another VM saw, since others tell it now.
-func (d *Desk) Forget(vm sassafrastray.VMName) {
+// Forget drops what a VM or region told, since others tell it now.
+func (d *Desk) Forget(from sassafrastray.Source) {
 	for _, m := range d.moves {
-		delete(m.heard, vm)
+		delete(m.heard, from)
 	}
 }
 
--- a/internal/rollout/canary/canary_test.go
+++ b/internal/rollout/canary/canary_test.go
@@ -125,7 +125,7 @@
 	for i, d := range r.desks {
 		for j, to := range r.desks {
 			if i != j && !r.down[i] && !r.down[j] {
-				to.Heard(sassafrastray.VMName(strconv.Itoa(i)), d.Evidence())
+				to.Heard(sassafrastray.Source(strconv.Itoa(i)), d.Evidence())
 			}
 		}
 	}
--- a/internal/traffic/entry/handler.go
+++ b/internal/traffic/entry/handler.go
@@ -17,6 +17,7 @@
 	"sassafrastray/internal/limit/pace"
 	"sassafrastray/internal/limit/quota"
 	"sassafrastray/internal/operator/key"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/rollout/evidence"
 	"sassafrastray/internal/rollout/move"
 	"sassafrastray/internal/traffic/choice"
@@ -260,7 +261,7 @@
 	}
 	h.Metrics.ended(in, r.reason, h.Clock.Now())
 	if h.Decision {
-		h.Log.Info("refused", "request", in.id, "service", name(in.service), "route", routeName(in.route),
+		h.Log.Info(message.Refused, "request", in.id, "service", name(in.service), "route", routeName(in.route),
 			"team", in.team, "reason", r.reason, "result", r.result, "detail", r.detail)
 	}
 }
--- a/internal/traffic/entry/kept.go
+++ b/internal/traffic/entry/kept.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/rollout/evidence"
 	"sassafrastray/internal/traffic/keeper"
 	"sassafrastray/internal/traffic/upstream"
@@ -110,7 +111,7 @@
 	in.tried = name
 	start := h.Clock.Now()
 	if h.Decision {
-		h.Log.Info("placement", "request", in.id, "service", in.service.Name, "route", in.route.Name, "team", in.team,
+		h.Log.Info(message.Placed, "request", in.id, "service", in.service.Name, "route", in.route.Name, "team", in.team,
 			"version", in.version, "backend", name, "waited", start.Sub(in.arrived), "reason", placed(t))
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/internal/traffic/entry/steer.go
+++ b/internal/traffic/entry/steer.go
@@ -7,6 +7,7 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/limit/pace"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/rollout/move"
 	"sassafrastray/internal/traffic/choice"
 	"sassafrastray/internal/traffic/retry"
@@ -47,7 +48,7 @@
 		}
 		h.Metrics.Retries.WithLabelValues(string(in.service.Name)).Inc()
 		if h.Decision {
-			h.Log.Info("retry", "request", in.id, "service", in.service.Name, "after", r.reason, "result", r.result, "number", number)
+			h.Log.Info(message.Retried, "request", in.id, "service", in.service.Name, "after", r.reason, "result", r.result, "number", number)
 		}
 		in.avoid, in.tried = d.Exclude, ""
 		if !in.sleep(d.Pause) {
@@ -92,7 +93,7 @@
 
 func (h *Handler) logChoice(in *inbound, t choice.Target, reason choice.Reason) {
 	if h.Decision {
-		h.Log.Info("routing", "request", in.id, "service", in.service.Name, "route", in.route.Name, "team", in.team,
+		h.Log.Info(message.Routed, "request", in.id, "service", in.service.Name, "route", in.route.Name, "team", in.team,
 			"version", in.version, "to", t.VM, "domain", t.Domain, "region", t.Region, "reason", reason)
 	}
 }
--- a/internal/traffic/ingress/line.go
+++ b/internal/traffic/ingress/line.go
@@ -5,6 +5,7 @@
 	"log/slog"
 
 	"sassafrastray"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/traffic/placement"
 	"sassafrastray/internal/traffic/retry"
 )
@@ -34,10 +35,10 @@
 	args = chosen(args, &q.choice)
 	if r != nil {
 		args = append(args, "result", r.result, "detail", r.detail, "wait", r.wait)
-		h.Log.Warn("refused", args...)
+		h.Log.Warn(message.Refused, args...)
 		return
 	}
-	h.Log.Info("answered", args...)
+	h.Log.Info(message.Answered, args...)
 }
 
 // tried writes the line about a try that did not give the answer, and about what
@@ -57,7 +58,7 @@
 	} else {
 		args = append(args, "reason", r.reason, "result", r.result, "detail", r.detail)
 	}
-	h.Log.Warn("try failed", append(args, "again", d.Retry, "pause", d.Pause)...)
+	h.Log.Warn(message.TryFailed, append(args, "again", d.Retry, "pause", d.Pause)...)
 }
 
 // chosen appends what decided on the backend server.
--- a/internal/traffic/ingress/line_test.go
+++ b/internal/traffic/ingress/line_test.go
@@ -14,6 +14,7 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/operator/logbook"
+	"sassafrastray/internal/operator/trace"
 	"sassafrastray/internal/traffic/placement"
 )
 
@@ -64,6 +65,22 @@
 			t.Errorf("line %d: %+v, want %+v", i, got[i], want[i])
 		}
 	}
+	for id, cause := range map[string]string{
+		"r1": "Answered with status 200 by b after 2 tries",
+		"r2": "Status 503: every backend server of s that could have taken the request",
+	} {
+		var l trace.Log
+		if err := l.Read(strings.NewReader(out.String())); err != nil {
+			t.Fatal(err)
+		}
+		s, err := l.Story(id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.HasPrefix(s.Cause, cause) {
+			t.Errorf("%s: cause %q, want %q", id, s.Cause, cause)
+		}
+	}
 }
 
 // ask lets the handler answer one request.
--- a/names.go
+++ b/names.go
@@ -26,8 +26,17 @@
 	// MoveName names a move between versions within its service. It is never
 	// used twice.
 	MoveName string
+	// Source names who tells figures: a VM, or the VMs of a region together.
+	Source string
 )
 
+// Source returns the name under which the VM tells figures.
+func (n VMName) Source() Source { return Source(n) }
+
+// Source returns the name under which the region's VMs tell figures together. No
+// VM has a name with a slash.
+func (n RegionName) Source() Source { return "region/" + Source(n) }
+
 // Incarnation tells one run of a VM's process from its earlier runs. It is
 // the start time in nanoseconds, so a later run has a greater one.
 type Incarnation int64
