--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -156,6 +156,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(path)
 	req.Header.SetHost(to.String())
+	req.Header.Set(upstream.IDHeader, upstream.NewID())
 	if body != nil {
 		req.Header.SetMethod(fasthttp.MethodPost)
 		req.SetBodyRaw(body)
@@ -176,6 +177,7 @@
 
 // Handle answers one message of another VM.
 func Handle(ctx *fasthttp.RequestCtx, handler Handler) {
+	defer upstream.EchoID(ctx)
 	switch string(ctx.Path()) {
 	case HeartbeatPath:
 		var h Heartbeat
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -119,6 +119,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(m.path)
 	req.Header.SetHost(string(to.Name))
+	req.Header.Set(upstream.IDHeader, upstream.NewID())
 	c.Sign(&req.Header)
 	if m.body != nil {
 		req.Header.SetMethod(fasthttp.MethodPost)
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -9,6 +9,7 @@
 	"sassafrastray"
 	"sassafrastray/internal/limit/quota"
 	"sassafrastray/internal/operator/config"
+	"sassafrastray/internal/traffic/upstream"
 )
 
 type (
@@ -42,6 +43,7 @@
 
 // Handle answers one request of the inner protocol.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	defer upstream.EchoID(ctx)
 	h := &ctx.Request.Header
 	if !s.token.Valid(h.Peek(TokenHeader)) {
 		ctx.Error("not a VM of this system", fasthttp.StatusForbidden)
--- a/internal/fleet/vm/probe.go
+++ b/internal/fleet/vm/probe.go
@@ -73,6 +73,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(healthPath)
 	req.Header.SetHost(b.Address.String())
+	req.Header.Set(upstream.IDHeader, upstream.NewID())
 	x := v.probes.Start(upstream.Call{Address: b.Address, Deadline: v.clock.Now().Add(callTimeout), ProgressTimeout: callTimeout})
 	if out := x.Do(req, resp); out.Failure != upstream.None {
 		return health{}, false
--- a/internal/traffic/entry/refusal.go
+++ b/internal/traffic/entry/refusal.go
@@ -11,6 +11,7 @@
 	"sassafrastray"
 	"sassafrastray/internal/fleet/peer"
 	"sassafrastray/internal/traffic/problem"
+	"sassafrastray/internal/traffic/upstream"
 )
 
 // Headers that the system sets on responses, and replaces when a backend
@@ -18,7 +19,7 @@
 const (
 	resultHeader  = "Result"
 	reasonHeader  = "Reason"
-	idHeader      = "Request-Id"
+	idHeader      = upstream.IDHeader
 	teamHeader    = "Team"
 	timeoutHeader = "Request-Timeout"
 	shedHeader    = "Shed"
--- a/internal/traffic/upstream/answer_test.go
+++ b/internal/traffic/upstream/answer_test.go
@@ -73,12 +73,15 @@
 func runScript(t *testing.T, data string) {
 	s := &scriptedServer{}
 	var want []string
-	size := 0
+	size, method := 0, fasthttp.MethodGet
 	for line := range strings.SplitSeq(strings.TrimSpace(data), "\n") {
 		verb, arg, _ := strings.Cut(line, " ")
 		switch verb {
 		case "body":
 			size, _ = strconv.Atoi(arg)
+			method = fasthttp.MethodPost
+		case "method":
+			method = arg
 		case "see":
 			want = append(want, arg)
 		default:
@@ -105,22 +108,22 @@
 	defer p.Close()
 	address := netip.MustParseAddrPort(ln.Addr().String())
 	for i, w := range want {
-		if got := describeExchange(p, address, size, i); got != w {
+		if got := describeExchange(p, address, method, size, i); got != w {
 			t.Errorf("request %d: got %q, want %q", i, got, w)
 		}
 	}
 }
 
 // describeExchange sends the request with the ID rN and describes its result.
-func describeExchange(p *Pool, address netip.AddrPort, size, n int) string {
+func describeExchange(p *Pool, address netip.AddrPort, method string, size, n int) string {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("/")
 	req.Header.SetHost("test.example")
 	req.Header.Set("Id", fmt.Sprint("r", n))
+	req.Header.SetMethod(method)
 	if size > 0 {
-		req.Header.SetMethod(fasthttp.MethodPost)
 		req.SetBodyRaw(bytes.Repeat([]byte("x"), size))
 	}
 	x := p.Start(Call{Address: address, Deadline: time.Now().Add(2 * time.Second), ProgressTimeout: time.Second})
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -1,9 +1,12 @@
 package upstream
 
 import (
+	"bytes"
 	"io"
+	"math/rand/v2"
 	"net/netip"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,8 +39,14 @@
 	// waits for a response that was sent before the connection broke.
 	earlyResponseWait = 50 * time.Millisecond
 
-	// defaultIDHeader is the default of Options.IDHeader.
-	defaultIDHeader = "Request-Id"
+	// IDHeader is the default of Options.IDHeader.
+	IDHeader = "Request-Id"
+
+	// maxDiscardedBytes and maxDiscardTime bound the reading of a response that
+	// belongs to another request. The head of a response that was cut off would
+	// otherwise claim the bytes of the one that is waited for.
+	maxDiscardedBytes = 256 << 10
+	maxDiscardTime    = 200 * time.Millisecond
 
 	// unframedLength is the content length with which fasthttp marks a response
 	// that ends with its connection.
@@ -102,8 +111,26 @@
 	}
 )
 
-// pastDeadline makes reads and writes of a connection fail at once.
-var pastDeadline = time.Unix(1, 0)
+var (
+	// statusLine matches the beginning of a response, and httpVersion is a part of
+	// it that is found faster.
+	statusLine  = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+	httpVersion = []byte("HTTP/1.")
+
+	// pastDeadline makes reads and writes of a connection fail at once.
+	pastDeadline = time.Unix(1, 0)
+)
+
+// NewID returns an ID for a request that has none of its caller.
+func NewID() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+// EchoID sets the ID of the request in the response, as every server of a Pool's
+// requests has to do.
+func EchoID(ctx *fasthttp.RequestCtx) {
+	if id := ctx.Request.Header.Peek(IDHeader); len(id) > 0 {
+		ctx.Response.Header.SetBytesV(IDHeader, id)
+	}
+}
 
 // Start prepares an exchange. Nothing is sent before Do.
 func (p *Pool) Start(call Call) *Exchange { return &Exchange{pool: p, call: call} }
@@ -159,7 +186,8 @@
 // The stream returns io.ErrUnexpectedEOF if the body is incomplete. Closing it
 // before its end closes the connection.
 func (e *Exchange) Do(req *fasthttp.Request, resp *fasthttp.Response) Outcome {
-	c, err := e.pool.get(e.call.Address, e.call.RequireFresh, e.call.Deadline)
+	id := req.Header.Peek(e.pool.opt.IDHeader)
+	c, err := e.pool.get(e.call, id)
 	if err != nil {
 		return Outcome{Failure: Dial, Err: err}
 	}
@@ -291,7 +319,7 @@
 func (e *Exchange) read(c *conn, req *fasthttp.Request, resp *fasthttp.Response) Outcome {
 	for discarded := 0; ; discarded++ {
 		out := e.readResponse(c, req, resp)
-		if out.Failure != Crossed || discarded >= e.pool.opt.MaxDiscarded || !discardResponse(resp) {
+		if out.Failure != Crossed || discarded >= e.pool.opt.MaxDiscarded || !e.discardResponse(c, resp) {
 			return out
 		}
 	}
@@ -299,12 +327,17 @@
 
 // discardResponse reads the rest of a response that belongs to another request. It
 // returns false if the connection can't be used afterwards.
-func discardResponse(resp *fasthttp.Response) bool {
-	if resp.Header.ContentLength() == unframedLength || resp.ConnectionClose() {
+func (e *Exchange) discardResponse(c *conn, resp *fasthttp.Response) bool {
+	size, hasBody := resp.Header.ContentLength(), bodyAllowed(resp.StatusCode())
+	if hasBody && (size == unframedLength || size > maxDiscardedBytes) || resp.ConnectionClose() {
 		return false
 	}
-	if s := resp.BodyStream(); s != nil {
-		if _, err := io.Copy(io.Discard, s); err != nil {
+	if s := resp.BodyStream(); s != nil && hasBody {
+		c.SetReadDeadline(earlier(e.pool.clock.Now().Add(maxDiscardTime), e.deadline()))
+		n, err := io.CopyN(io.Discard, s, maxDiscardedBytes+1)
+		if err != io.EOF || n > maxDiscardedBytes {
+			// Closing the stream would wait for the rest of the body.
+			c.Close()
 			return false
 		}
 	}
@@ -331,8 +364,16 @@
 	default:
 		return Outcome{Failure: Malformed, Sent: true, Err: err}
 	}
-	if id := resp.Header.Peek(e.pool.opt.IDHeader); len(id) > 0 && string(id) != string(req.Header.Peek(e.pool.opt.IDHeader)) {
-		return Outcome{Failure: Crossed, Sent: true, Err: errors.Newf("response belongs to request %q", id)}
+	if resp.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		return Outcome{Failure: Malformed, Sent: true, Err: errors.New("the server switches protocols")}
+	}
+	if c.reused && containsHead(resp) {
+		return Outcome{Failure: Malformed, Sent: true, Err: errors.New("the response starts with a part of another one")}
+	}
+	err = checkOwner(c, resp, req.Header.Peek(e.pool.opt.IDHeader), e.pool.opt.IDHeader)
+	c.answered = true
+	if err != nil {
+		return Outcome{Failure: Crossed, Sent: true, Err: err}
 	}
 	c.peerIdleTimeout = keepAliveTimeout(resp)
 	if !e.pool.opt.AllowUnframed && !resp.SkipBody && resp.Header.ContentLength() == unframedLength && bodyAllowed(resp.StatusCode()) {
@@ -341,6 +382,37 @@
 	return Outcome{Sent: true}
 }
 
+// checkOwner returns an error unless the response belongs to the request with the ID.
+// It does if it has this ID and no other. Without an ID only the first response on a
+// connection does: no other request was sent there. The connection then closes after
+// it, since a late copy of such a response could not be told from the next one.
+func checkOwner(c *conn, resp *fasthttp.Response, id []byte, header string) error {
+	ids := resp.Header.PeekAll(header)
+	switch {
+	case len(ids) == 0 && !c.answered:
+		resp.SetConnectionClose()
+		return nil
+	case len(ids) != 1 || len(id) == 0 || !bytes.Equal(ids[0], id):
+		return errors.Newf("response has the IDs %q", ids)
+	}
+	return nil
+}
+
+// containsHead reports whether the head of the response contains the status line of
+// another one. The head of a late response that was cut off ends where the next
+// response begins, and the parser takes both for one.
+func containsHead(resp *fasthttp.Response) bool {
+	if statusLine.Match(resp.Header.StatusMessage()) {
+		return true
+	}
+	for _, value := range resp.Header.All() {
+		if bytes.Contains(value, httpVersion) && statusLine.Match(value) {
+			return true
+		}
+	}
+	return false
+}
+
 // keepAliveTimeout returns how long the other side keeps an idle connection open
 // according to its Keep-Alive header, or zero if it does not say.
 func keepAliveTimeout(resp *fasthttp.Response) time.Duration {
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -10,9 +10,11 @@
 	"bufio"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"sassafrastray"
@@ -30,6 +32,9 @@
 	// in which it is no longer reused.
 	idleCloseMargin = time.Second
 
+	// rememberedIDs is the number of requests whose IDs a connection remembers.
+	rememberedIDs = 4
+
 	// userTimeout is how long sent bytes may stay unacknowledged before the
 	// kernel closes the connection.
 	userTimeout = 6 * time.Second
@@ -49,7 +54,8 @@
 		// MaxIdlePerAddress is how many unused connections are kept per address.
 		MaxIdlePerAddress int
 		// IDHeader is the header that carries the ID of a request in both
-		// directions; empty means Request-Id.
+		// directions; empty means Request-Id. A connection is only reused after a
+		// response with the ID of its request, and not for a request without one.
 		IDHeader string
 		// FreshFor is how long after its last complete response a connection may
 		// carry a request that must not be executed twice; zero means one second.
@@ -91,13 +97,21 @@
 		wrote    bool
 		writeErr error
 		readErr  error
+
+		// reused means that the connection carried another request before, and
+		// answered that a response was read from it.
+		reused, answered bool
+		// carried holds hashes of the IDs of its latest requests, and next is the
+		// place of the next one.
+		carried [rememberedIDs]uint64
+		next    int
 	}
 )
 
 // New returns an empty Pool.
 func New(clock sassafrastray.Clock, opt Options) *Pool {
 	if opt.IDHeader == "" {
-		opt.IDHeader = defaultIDHeader
+		opt.IDHeader = IDHeader
 	}
 	if opt.FreshFor == 0 {
 		opt.FreshFor = defaultFreshFor
@@ -128,29 +142,48 @@
 	return n, err
 }
 
-// get returns a connection to the address. A pooled connection is used only if it
-// is open and has nothing to read and, with fresh set, if its last response ended
-// less than FreshFor ago.
-func (p *Pool) get(address netip.AddrPort, fresh bool, deadline time.Time) (*conn, error) {
-	now := p.clock.Now()
+// get returns a connection for the call. A pooled connection is used only if it is
+// open and has nothing to read, and if its last response ended recently enough. A
+// request without an ID and one that the connection has carried before need another
+// one: a late response could not be told from the one that is waited for.
+func (p *Pool) get(call Call, id []byte) (*conn, error) {
+	address, now := call.Address, p.clock.Now()
+	if len(id) == 0 {
+		return p.dial(address, now, call.Deadline)
+	}
+	hash := xxhash.Sum64(id)
 	p.mu.Lock()
 	list := p.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.idle[address] = list
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
 		age := now.Sub(c.lastUsed)
-		stale := age > p.idleTimeout(c) || (fresh && age > p.opt.FreshFor) || c.opened.Before(p.timedOutAt[address])
+		stale := age > p.idleTimeout(c) || (call.RequireFresh && age > p.opt.FreshFor) || c.opened.Before(p.timedOutAt[address])
+		if !stale && slices.Contains(c.carried[:], hash) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
+		p.idle[address] = list
 		if stale || !reusable(c.Conn) {
 			c.Close()
 			continue
 		}
 		p.mu.Unlock()
-		c.wrote, c.writeErr, c.readErr = false, nil, nil
+		c.wrote, c.writeErr, c.readErr, c.reused = false, nil, nil, true
+		c.remember(hash)
 		return c, nil
 	}
 	p.mu.Unlock()
-	return p.dial(address, now, deadline)
+	c, err := p.dial(address, now, call.Deadline)
+	if err == nil {
+		c.remember(hash)
+	}
+	return c, err
+}
+
+// remember records the ID of a request that the connection carries.
+func (c *conn) remember(hash uint64) {
+	c.carried[c.next] = hash
+	c.next = (c.next + 1) % len(c.carried)
 }
 
 // idleTimeout returns how long the connection may stay unused.
