--- a/config.go
+++ b/config.go
@@ -17,6 +17,9 @@
 		// serve them.
 		Routes []Route `json:"routes,omitempty"`
 		Limits *Limits `json:"limits,omitempty"`
+		// Notes say what in the published configuration is not known here and was
+		// taken in the most careful way.
+		Notes []string `json:"notes,omitempty"`
 	}
 
 	// Limits bound the size of a caller's request and how long a connection may
--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -195,6 +195,9 @@
 	c := v.replica.Config()
 	v.log.Info(message.ConfigApplied, "config", c.Number, "routes", len(c.Routes), "teams", len(c.Fleet.Teams),
 		"revision", v.replica.Revision(sassafrastray.TopicConfig))
+	for _, note := range c.Notes {
+		v.log.Warn("in the configuration", "config", c.Number, "note", note)
+	}
 	v.metrics.config.Set(float64(c.Number))
 	v.placement.do(func(t *placement.Table, _ time.Time) { t.Configure(c.Services) })
 	v.quotas.do(func(l *ratelimit.Limiter, now time.Time) { l.Configure(c.Fleet.Teams, now) })
