--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -114,8 +114,12 @@
 		// Ready, Lookups and Metrics are the addresses of these listeners.
 		Ready, Lookups, Metrics netip.AddrPort
 		Seeds                   []netip.AddrPort
-		Bounds                  sassafrastray.Bounds
-		Dialect                 sassafrastray.Dialect
+		// Memory is the VM's memory in bytes, and LinkBytesPerSecond the capacity
+		// of its network link. Zero means unknown.
+		Memory             int64
+		LinkBytesPerSecond float64
+		Bounds             sassafrastray.Bounds
+		Dialect            sassafrastray.Dialect
 
 		LookupPath, ReadyPath string
 		// ParseLookup reads a caller's look-up, EncodeAddresses encodes the answer
@@ -260,6 +264,7 @@
 		Placement: v.placement, Quotas: v.quotas, Rollouts: v.rollouts, Splits: v.splits, Disconnects: v.disconnects,
 		Retries: v.retries,
 		Metrics: entry.NewMetrics(v.registry),
+		Memory:  v.opt.Memory, LinkBytesPerSecond: v.opt.LinkBytesPerSecond,
 	})
 }
 
--- a/internal/traffic/entry/deliver.go
+++ b/internal/traffic/entry/deliver.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/traffic/upstream"
 )
 
 // deliver passes a response on to the caller or to the VM that forwarded the
@@ -42,12 +43,8 @@
 	}, size)
 }
 
-// discardResponse reads and discards the rest of a short response, so that its
-// connection can be reused.
+// discardResponse ends and releases a response whose body is not wanted.
 func discardResponse(resp *fasthttp.Response) {
-	if s := resp.BodyStream(); s != nil {
-		// The error is ignored: a body that can't be read closes its connection.
-		_, _ = io.Copy(io.Discard, io.LimitReader(s, maxReplayableBody))
-	}
+	upstream.Discard(resp)
 	fasthttp.ReleaseResponse(resp)
 }
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"sassafrastray"
 	"sassafrastray/internal/limit/ratelimit"
@@ -88,6 +89,10 @@
 		Splits      Splitter
 		Disconnects *disconnect.Watcher
 		Metrics     *entry.Metrics
+		// Memory is the VM's memory in bytes, and LinkBytesPerSecond the capacity
+		// of its network link. Zero means unknown.
+		Memory             int64
+		LinkBytesPerSecond float64
 	}
 
 	// Handler handles the requests of callers.
@@ -96,11 +101,15 @@
 		snap    atomic.Pointer[Snapshot]
 		active  atomic.Int64
 		leaving atomic.Bool
+		memory  *memory
+		pace    *rate.Limiter
 	}
 )
 
 // New returns a Handler that refuses all requests until it has a Snapshot.
-func New(d Deps) *Handler { return &Handler{Deps: d} }
+func New(d Deps) *Handler {
+	return &Handler{Deps: d, memory: newMemory(d.Memory), pace: newPace(d.LinkBytesPerSecond)}
+}
 
 // Update replaces the Snapshot.
 func (h *Handler) Update(s *Snapshot) { h.snap.Store(s) }
@@ -121,6 +130,7 @@
 	}
 	q := h.receive(ctx)
 	defer h.Disconnects.Remove(q)
+	defer func() { h.memory.release(q.held) }()
 	r := h.admit(q)
 	if r == nil {
 		r = h.serve(q)
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -46,6 +46,8 @@
 	// body is the whole body, or its beginning if rest is set.
 	body []byte
 	rest io.Reader
+	// held is the number of bytes of the handler's memory that hold the body.
+	held int
 	// restUsed means that a Read of rest has started, so that the request
 	// can't be sent again.
 	restUsed bool
@@ -122,9 +124,10 @@
 	return uri
 }
 
-// readBody buffers the request's body, or the beginning of a body larger than
-// maxBufferedBody, whose rest stays a stream. It refuses a body that is larger
-// than limit, if that is set, or that ends early.
+// readBody buffers the request's body. Of a body larger than maxBufferedBody it
+// buffers the beginning, and of one for which there is no memory nothing; the rest
+// stays a stream. It refuses a body that is larger than limit, if that is set, or
+// that ends early.
 func (h *Handler) readBody(q *request, limit int64) *refusal {
 	req := &q.ctx.Request
 	size := req.Header.ContentLength()
@@ -136,22 +139,31 @@
 		return nil
 	}
 	stream := req.BodyStream()
+	rest := &restBody{q: q, r: stream, limit: limit, bounded: limit > 0, now: h.Clock.Now}
+	held := maxBufferedBody
+	if size >= 0 {
+		held = min(size, maxBufferedBody)
+	}
+	if !h.memory.reserve(held) {
+		q.rest = rest
+		return nil
+	}
+	q.held = held
 	q.conn.SetReadDeadline(q.deadline)
 	b, err := io.ReadAll(io.LimitReader(stream, maxBufferedBody+1))
 	q.conn.SetReadDeadline(time.Time{})
 	if err != nil {
 		return notRun(sassafrastray.ReasonCallerGone, "the body was cut short")
 	}
-	if len(b) <= maxBufferedBody {
-		q.body = b
-		return nil
-	}
 	q.body = b
-	q.rest = &restBody{q: q, r: stream, limit: limit - int64(len(b)), bounded: limit > 0, now: h.Clock.Now}
+	if len(b) > maxBufferedBody {
+		rest.limit -= int64(len(b))
+		q.rest = rest
+	}
 	return nil
 }
 
-// restBody reads the rest of a body after its buffered beginning.
+// restBody reads the rest of a body after the part that is buffered.
 type restBody struct {
 	q       *request
 	r       io.Reader
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -32,10 +32,14 @@
 	// that it has not handled recently, which must not count.
 	lateFactor = 5
 
-	// maxBufferedResponse is the size in bytes from which a response is
-	// streamed. A smaller one is buffered, so that the request can be sent again
-	// if the response breaks off.
-	maxBufferedResponse = 256 << 10
+	// maxBufferedResponse is the size in bytes above which a response is
+	// streamed. A smaller one is buffered if there is memory for it, so that the
+	// request can be sent again if the response breaks off.
+	maxBufferedResponse = 640 << 10
+
+	// smallResponse is the size in bytes up to which buffered responses don't
+	// count towards the memory of large ones.
+	smallResponse = 16 << 10
 )
 
 // attempt is one try at a backend server.
@@ -48,6 +52,8 @@
 	resp     *fasthttp.Response
 	out      upstream.Outcome
 	body     []byte
+	// held is the number of bytes of the handler's memory that hold the body.
+	held int
 	// stream is set for a response that is too large to be buffered.
 	stream io.ReadCloser
 }
@@ -67,6 +73,9 @@
 		if reserved = nil; a != nil {
 			reserved = a.reserved.Load()
 		}
+		if r == nil && failure != nil {
+			h.releaseMemory(failure)
+		}
 		if r == nil && !h.isRetryable(q, a) {
 			h.release(reserved)
 			h.deliver(q, a)
@@ -291,19 +300,26 @@
 }
 
 // readResponse buffers the response body, or the beginning of a large body of
-// unknown length. It refuses the request if the body can't be read to its end.
+// unknown length. It refuses the request if the body can't be read to its end. A body
+// for which there is no memory is streamed.
 func (h *Handler) readResponse(q *request, a *attempt) *refusal {
 	stream, ok := a.resp.BodyStream().(io.ReadCloser)
 	if !ok {
 		return nil
 	}
 	size := a.resp.Header.ContentLength()
-	if size > maxBufferedResponse {
+	if size < 0 {
+		size = maxBufferedResponse
+	}
+	if size > maxBufferedResponse || size > smallResponse && !h.memory.reserve(size) {
 		a.stream = stream
 		return nil
 	}
+	if size > smallResponse {
+		a.held = size
+	}
 	body, err := io.ReadAll(io.LimitReader(stream, maxBufferedResponse))
-	if err == nil && len(body) == maxBufferedResponse {
+	if err == nil && len(body) == maxBufferedResponse && a.resp.Header.ContentLength() < 0 {
 		a.body, a.stream = body, stream
 		return nil
 	}
@@ -322,17 +338,22 @@
 		return &refusal{reason: reason, result: sassafrastray.ResultUnknown, detail: "the answer was not whole"}
 	}
 	a.body = body
+	if unused := a.held - len(body); a.held > 0 && unused > 0 {
+		h.memory.release(unused)
+		a.held = len(body)
+	}
 	return nil
 }
 
-// discard closes the body of a response that is not used.
+// discard ends a response that is not used.
 func (h *Handler) discard(a *attempt) {
-	if s, ok := a.resp.BodyStream().(io.ReadCloser); ok {
-		// A short rest is read so that the connection can be reused. The errors
-		// are ignored: a body that can't be read closes its connection.
-		_, _ = io.CopyN(io.Discard, s, maxBufferedBody)
-		_ = s.Close()
-	}
+	upstream.Discard(a.resp)
+	h.releaseMemory(a)
+}
+
+func (h *Handler) releaseMemory(a *attempt) {
+	h.memory.release(a.held)
+	a.held = 0
 }
 
 // reportOutcome reports to placement and the rollouts how the try ended.
@@ -381,16 +402,27 @@
 	hop.RemoveHeaders(&out.Header)
 	out.Header.Del(h.Dialect.Load)
 	h.Metrics.Bytes.WithLabelValues(string(q.service)).Add(float64(len(a.body)))
-	skip := a.resp.SkipBody
+	body := &callerBody{conn: q.conn, clock: h.Clock, deadline: q.deadline}
 	size := a.resp.Header.ContentLength()
 	switch {
 	case a.stream != nil:
+		body.Reader, body.pace = a.stream, h.pace
 		if len(a.body) > 0 {
-			out.SetBodyStream(&resumedStream{io.MultiReader(bytes.NewReader(a.body), a.stream), a.stream}, size)
-		} else {
-			out.SetBodyStream(a.stream, size)
+			body.Reader = io.MultiReader(bytes.NewReader(a.body), a.stream)
+		}
+		body.end = func() error {
+			h.releaseMemory(a)
+			return a.stream.Close()
+		}
+		out.SetBodyStream(body, size)
+	case a.held > 0:
+		body.Reader = bytes.NewReader(a.body)
+		body.end = func() error {
+			h.releaseMemory(a)
+			return nil
 		}
-	case skip:
+		out.SetBodyStream(body, len(a.body))
+	case a.resp.SkipBody:
 		out.SkipBody = true
 	default:
 		out.SetBodyRaw(a.body)
@@ -402,9 +434,3 @@
 		q.ctx.SetConnectionClose()
 	}
 }
-
-// resumedStream is a stream whose beginning was already read into memory.
-type resumedStream struct {
-	io.Reader
-	io.Closer
-}
--- a/internal/traffic/upstream/body.go
+++ b/internal/traffic/upstream/body.go
@@ -40,6 +40,9 @@
 		// read is the number of bytes read so far.
 		read int
 		done bool
+		// expiry closes the connection at the deadline, also if nothing reads the
+		// body then because the caller does not take what was read before.
+		expiry *time.Timer
 	}
 )
 
@@ -80,11 +83,33 @@
 	return nil
 }
 
+// closeAtDeadline closes the connection at the deadline unless the body has ended by
+// then.
+func (b *responseBody) closeAtDeadline() {
+	b.expiry = time.AfterFunc(b.deadline.Sub(b.now()), func() { b.c.Close() })
+}
+
+// Discard ends a response whose body is not wanted. A short rest is read, so that the
+// connection can be reused.
+func Discard(resp *fasthttp.Response) {
+	b, ok := resp.BodyStream().(*responseBody)
+	if !ok {
+		return
+	}
+	b.deadline = earlier(b.now().Add(maxDiscardTime), b.deadline)
+	// The error is ignored: a body that can't be read closes its connection.
+	_, _ = io.CopyN(io.Discard, b, maxDiscardedBytes)
+	_ = b.Close()
+}
+
 func (b *responseBody) finish(keep bool) {
 	if b.done {
 		return
 	}
 	b.done = true
+	if b.expiry != nil && !b.expiry.Stop() {
+		keep = false
+	}
 	if !keep {
 		// The connection is closed first, since the release of the stream would
 		// otherwise wait for the rest of the body.
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -452,6 +452,9 @@
 		body.r, body.keep, size = &untilEOF{c}, false, -1
 		body.size = size
 	}
+	if size < 0 || c.r.Buffered() < size {
+		body.closeAtDeadline()
+	}
 	resp.SetBodyStream(body, size)
 }
 
