--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -14,9 +14,15 @@
 	"sassafrastray/internal/traffic/placement"
 )
 
-// watchCheckInterval is the minimum interval between two checks of this VM's watches
-// that are caused by another VM failing to reach the store.
-const watchCheckInterval = 2 * time.Second
+const (
+	// watchCheckInterval is the minimum interval between two checks of this VM's
+	// watches that are caused by another VM failing to reach the store.
+	watchCheckInterval = 2 * time.Second
+
+	// maxClockSetback is how far a VM's clock may have been set back between two of
+	// its incarnations, in nanoseconds.
+	maxClockSetback = sassafrastray.Incarnation(365 * 24 * time.Hour)
+)
 
 // sendHeartbeats sends one round of heartbeats, also to seeds whose VMs are not
 // known yet.
@@ -106,7 +112,7 @@
 // Copy returns the replica's topics that have changes later than the held revisions.
 func (v *VM) Copy(held map[sassafrastray.Topic]int64) []sassafrastray.Batch {
 	answer := make(chan []sassafrastray.Batch, 1)
-	if !v.post(func(time.Time) { answer <- v.replica.NewerTopics(held) }) {
+	if !v.post(func(now time.Time) { answer <- v.replica.NewerTopics(held, now) }) {
 		return nil
 	}
 	select {
@@ -119,7 +125,10 @@
 
 // receive processes a heartbeat.
 func (v *VM) receive(h *gossip.Heartbeat, now time.Time) {
-	if h.Seen > v.incarnation {
+	if !h.VM.Reachable() {
+		return
+	}
+	if h.Seen > v.incarnation && h.Seen-v.incarnation < maxClockSetback {
 		// The clock was set back since an earlier incarnation of this VM, whose
 		// heartbeats would count as newer.
 		v.incarnation = h.Seen + 1
@@ -156,6 +165,7 @@
 
 // learnVMs adds VMs that another VM or the store knows, and removes expired ones.
 func (v *VM) learnVMs(vms []sassafrastray.VM, now time.Time) {
+	vms = slices.DeleteFunc(slices.Clone(vms), func(vm sassafrastray.VM) bool { return !vm.Reachable() })
 	if len(vms) == 0 {
 		return
 	}
--- a/internal/fleet/edge/updates.go
+++ b/internal/fleet/edge/updates.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"sassafrastray"
@@ -76,7 +77,7 @@
 			}
 			return
 		}
-		if v.replica.Revision(u.Batch.Topic) >= u.Batch.Revision {
+		if !slices.Contains(replica.Topics, u.Batch.Topic) || v.replica.Revision(u.Batch.Topic) >= u.Batch.Revision {
 			return
 		}
 		v.log.Info("change of the store from another VM", "from", u.From.Name, "topic", u.Batch.Topic, "revision", u.Batch.Revision)
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -137,6 +137,9 @@
 	}
 	var batches []sassafrastray.Batch
 	err = c.call(to, CopyPath, body, &batches, timeout)
+	for i := range batches {
+		batches[i].MarkUnusable()
+	}
 	return batches, errors.Wrap(err, "copy")
 }
 
@@ -199,6 +202,7 @@
 			ctx.Error("news: "+err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
+		u.Batch.MarkUnusable()
 		handler.Update(&u)
 		reply(ctx, true)
 	default:
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -74,7 +74,12 @@
 }
 
 // Revision returns the store's revision that the replica of a topic reflects.
-func (r *Replica) Revision(t sassafrastray.Topic) int64 { return r.topics[t].revision }
+func (r *Replica) Revision(t sassafrastray.Topic) int64 {
+	if s := r.topics[t]; s != nil {
+		return s.revision
+	}
+	return 0
+}
 
 // Held returns, for each topic that was read, the revision up to which the replica
 // has all changes.
@@ -320,16 +325,21 @@
 }
 
 // NewerTopics returns the entries of each topic that has changes later than the
-// given revisions, for a VM that lacks them.
-func (r *Replica) NewerTopics(latest map[sassafrastray.Topic]int64) []sassafrastray.Batch {
+// given revisions, for a VM that lacks them. Backend servers that are only kept until
+// missingGrace has passed are left out: a VM that knows them keeps them by itself, and
+// one that does not would not learn that they are gone.
+func (r *Replica) NewerTopics(latest map[sassafrastray.Topic]int64, now time.Time) []sassafrastray.Batch {
 	var out []sassafrastray.Batch
 	for _, name := range Topics {
 		t := r.topics[name]
 		if has, ok := latest[name]; !t.loaded || ok && has >= t.latest {
 			continue
 		}
-		b := sassafrastray.Batch{Topic: name, Revision: t.revision, Complete: true}
+		b := sassafrastray.Batch{Topic: name, Revision: t.revision, Complete: true, SinceOutage: r.SinceRecovery(name, now)}
 		for _, e := range t.entries {
+			if _, missing := r.missing[e.Name]; missing && name == sassafrastray.TopicBackends {
+				continue
+			}
 			b.Entries = append(b.Entries, e)
 		}
 		out = append(out, b)
--- a/internal/fleet/replica/update_test.go
+++ b/internal/fleet/replica/update_test.go
@@ -103,7 +103,7 @@
 					peer.ApplyFromPeer(rapid.SampledFrom(late).Draw(t, "batch"), start)
 				}
 			case "copy":
-				for _, b := range rapid.SampledFrom(watchers).Draw(t, "from").r.NewerTopics(peer.Held()) {
+				for _, b := range rapid.SampledFrom(watchers).Draw(t, "from").r.NewerTopics(peer.Held(), start) {
 					peer.ApplyFromPeer(b, start)
 				}
 			}
@@ -112,7 +112,7 @@
 			w.follow(h, start)
 		}
 		if peer.RevisionsBehind(watchers[0].r.Latest()) > 0 {
-			for _, b := range watchers[0].r.NewerTopics(peer.Held()) {
+			for _, b := range watchers[0].r.NewerTopics(peer.Held(), start) {
 				peer.ApplyFromPeer(b, start)
 			}
 		}
@@ -121,3 +121,38 @@
 		}
 	})
 }
+
+// TestCopyOmitsMissingServers checks that a VM which copies the store from another one
+// right after an outage does not get the servers that the other one only keeps in
+// case their entries have lapsed: nothing would remove them there.
+func TestCopyOmitsMissingServers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := &history{current: map[string]sassafrastray.Entry{}}
+	h.change("gone", false)
+	h.change("stays", false)
+	from := New()
+	from.Apply(h.complete(), now)
+	from.RecordFailure(sassafrastray.TopicBackends, now)
+	h.change("gone", true)
+	now = now.Add(2 * minOutage)
+	from.Apply(h.complete(), now)
+	if got := names(from); len(got) != 2 {
+		t.Fatalf("after an outage the replica has %v, want both servers for a while", got)
+	}
+	restarted, running := New(), New()
+	running.Apply(sassafrastray.Batch{Topic: sassafrastray.TopicBackends, Revision: 4, Complete: true, Entries: h.events[:2]}, now)
+	for name, r := range map[string]*Replica{"restarted": restarted, "running": running} {
+		for _, b := range from.NewerTopics(map[sassafrastray.Topic]int64{}, now) {
+			r.ApplyFromPeer(b, now)
+		}
+		if name == "running" && len(names(r)) != 2 {
+			t.Errorf("a VM that knew the missing server has %v, want both for a while", names(r))
+		}
+		for _, x := range []*Replica{from, r} {
+			x.Tick(now.Add(2 * missingGrace))
+		}
+		if got, want := names(r), names(from); !slices.Equal(got, want) {
+			t.Errorf("the copy of a %s VM has %v, want %v", name, got, want)
+		}
+	}
+}
--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -210,8 +210,25 @@
 	}
 )
 
-// shareInterval is how long a computed share is used.
-const shareInterval = 200 * time.Millisecond
+const (
+	// shareInterval is how long a computed share is used.
+	shareInterval = 200 * time.Millisecond
+
+	// maxVMs and maxFigure bound the number of VMs and the figures of a team in a
+	// report.
+	maxVMs    = 1 << 16
+	maxFigure = 1 << 30
+)
+
+// bounded returns the report with each figure in the range that it can have.
+func (r Report) bounded() Report {
+	out := Report{Uses: make(TeamUsage, len(r.Uses)), VMs: min(max(r.VMs, 1), maxVMs)}
+	out.Idle = min(max(r.Idle, 0), out.VMs)
+	for team, u := range r.Uses {
+		out.Uses[team] = Usage{Demand: min(max(u.Demand, 0), maxFigure), Admitted: min(max(u.Admitted, 0), maxFigure)}
+	}
+	return out
+}
 
 // Add adds the report of other VMs.
 func (r *Report) Add(o Report) {
@@ -281,6 +298,7 @@
 
 // UpdatePeer records the report of another VM, or of the VMs of a region.
 func (l *Limiter) UpdatePeer(from sassafrastray.Source, r Report, now time.Time) {
+	r = r.bounded()
 	known := r.VMs
 	if p := l.peers[from]; p != nil {
 		known = max(known, p.knownVMs)
--- a/internal/rollout/rollout/rollout.go
+++ b/internal/rollout/rollout/rollout.go
@@ -52,6 +52,9 @@
 	lateMargin   = 0.25
 	lateFactor   = 2
 
+	// maxCount bounds each count in the evidence of other VMs.
+	maxCount = 1 << 30
+
 	// minAnswered is the least number of requests that the new version must
 	// have answered well before its share rises to secondShare or thirdShare.
 	minAnswered = 8
@@ -248,7 +251,9 @@
 func (t *Tracker) Receive(from sassafrastray.Source, e Evidence) {
 	rows := make(map[sassafrastray.ServiceName][]RouteCounts)
 	for _, r := range e {
-		rows[r.Service] = append(rows[r.Service], r)
+		if r.Old.valid() && r.New.valid() {
+			rows[r.Service] = append(rows[r.Service], r)
+		}
 	}
 	for name, list := range rows {
 		if m := t.monitors[name]; m != nil && list[0].To == m.rollout.To {
@@ -368,6 +373,16 @@
 	return old, candidate
 }
 
+// valid reports whether no figure is negative or so large that sums overflow.
+func (c Count) valid() bool {
+	for _, n := range []int{c.OK, c.Failed, c.Late} {
+		if n < 0 || n > maxCount {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Count) add(o Count) { c.OK, c.Failed, c.Late = c.OK+o.OK, c.Failed+o.Failed, c.Late+o.Late }
 
 // countsByRoute adds up the counts of all VMs by route.
--- a/metadata.go
+++ b/metadata.go
@@ -77,3 +77,49 @@
 		RemoveVM(ctx context.Context, name VMName) error
 	}
 )
+
+// MarkUnusable turns the entries that lack what an entry of the topic must have into
+// ones that could not be decoded.
+func (b *Batch) MarkUnusable() {
+	for i := range b.Entries {
+		e := &b.Entries[i]
+		if err := e.check(b.Topic); err != nil {
+			*e = Entry{Name: e.Name, Revision: e.Revision, DecodeError: err.Error()}
+		}
+	}
+}
+
+func (e *Entry) check(t Topic) error {
+	if e.Deleted || e.DecodeError != "" {
+		return nil
+	}
+	switch t {
+	case TopicConfig:
+		return e.checkConfig()
+	case TopicBackends:
+		if b := e.Backend; b == nil || b.Name == "" || b.Service == "" || b.Domain == "" || b.Slots <= 0 || !b.Address.IsValid() {
+			return errors.New("backend server without a name, service, domain, slots or address")
+		}
+	case TopicRollouts:
+		if r := e.Rollout; r == nil || r.Service == "" || r.To == "" || r.MaxDuration <= 0 {
+			return errors.New("rollout without a service, version or duration")
+		}
+	case TopicVMs:
+		if e.VM == nil || !e.VM.Reachable() {
+			return errors.New("VM without a name or address")
+		}
+	}
+	return nil
+}
+
+func (e *Entry) checkConfig() error {
+	if e.Config == nil {
+		return errors.New("no configuration")
+	}
+	for i := range e.Config.Routes {
+		if r := &e.Config.Routes[i]; len(r.Targets) == 0 {
+			return errors.Newf("route %s without a service", r.Name)
+		}
+	}
+	return nil
+}
--- a/vm.go
+++ b/vm.go
@@ -46,3 +46,6 @@
 
 // String returns the place as domain/index.
 func (p Place) String() string { return string(p.Domain) + "/" + strconv.Itoa(p.Index) }
+
+// Reachable reports whether the VM has a name and an address for other VMs.
+func (v *VM) Reachable() bool { return v.Name != "" && v.PeerAddress.IsValid() }
