--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -55,10 +55,6 @@
 	vmListInterval = 10 * time.Second
 	sweepInterval  = 5 * time.Second
 
-	// suspendThreshold is the time between two ticks from which the VM assumes that
-	// it was suspended.
-	suspendThreshold = 2 * time.Second
-
 	// dialTimeout leaves time to retransmit one lost packet between regions.
 	dialTimeout = 400 * time.Millisecond
 
@@ -152,6 +148,7 @@
 		splits      *split.Splitter
 		workers     *ants.Pool
 		tasks       chan task
+		pauses      *pauseGuard
 		ctx         context.Context
 		stop        context.CancelFunc
 		loops       sync.WaitGroup
@@ -183,10 +180,11 @@
 		silent   map[sassafrastray.VMName]bool
 		backends backendSet
 		// idle reports whether look-ups leave this VM out.
-		idle     bool
-		nextDue  map[string]time.Time
-		lastTick time.Time
-		copying  bool
+		idle    bool
+		nextDue map[string]time.Time
+		// handledPauses is the number of pauses after which the state was renewed.
+		handledPauses uint64
+		copying       bool
 		// behindSince is when another VM was first found to have later changes of
 		// the store.
 		behindSince time.Time
@@ -213,7 +211,7 @@
 		opt: opt, clock: clock, trafficClock: trafficClock, log: log, store: store, workers: workers,
 		registry: prometheus.NewRegistry(), tasks: make(chan task, taskQueueSize),
 		self: opt.VM, incarnation: sassafrastray.Incarnation(now.UnixNano()), replica: replica.New(),
-		heartbeats: make(map[sassafrastray.VMName]*gossip.Heartbeat), nextDue: make(map[string]time.Time), lastTick: now,
+		heartbeats: make(map[sassafrastray.VMName]*gossip.Heartbeat), nextDue: make(map[string]time.Time), pauses: newPauseGuard(clock),
 		lastWrite:  make(map[sassafrastray.ServiceName]time.Time),
 		roundTrips: make(map[sassafrastray.RegionName]time.Duration), silent: make(map[sassafrastray.VMName]bool),
 		regions: newRegionSummaries(),
@@ -264,6 +262,7 @@
 		Placement: v.placement, Quotas: v.quotas, Rollouts: v.rollouts, Splits: v.splits, Disconnects: v.disconnects,
 		Retries: v.retries,
 		Metrics: entry.NewMetrics(v.registry),
+		Pauses:  v.pauses,
 		Memory:  v.opt.Memory, LinkBytesPerSecond: v.opt.LinkBytesPerSecond,
 	})
 }
@@ -330,13 +329,24 @@
 	}
 }
 
+// handlePause renews what the VM knows after a pause: it must not act on what was true
+// before it. Its parts of the quotas count as used, the store is asked again, and the
+// other VMs are told and asked at once.
+func (v *VM) handlePause(now time.Time) {
+	pauses, _ := v.pauses.check(now)
+	if pauses == v.handledPauses {
+		return
+	}
+	v.handledPauses = pauses
+	v.log.Warn(message.VMStalled, "pauses", pauses)
+	v.quotas.handlePause()
+	v.cancelWatches("")
+	delete(v.nextDue, "beat")
+}
+
 // tick runs the periodic work that is due.
 func (v *VM) tick(now time.Time) {
-	if pause := now.Sub(v.lastTick); pause > suspendThreshold {
-		v.log.Warn(message.VMStalled, "pause", pause)
-		v.quotas.handlePause()
-	}
-	v.lastTick = now
+	v.handlePause(now)
 	v.applyChange(v.replica.Tick(now), now)
 	v.logServerEvents(v.placement.tick())
 	v.advanceRollouts(now)
--- a/internal/fleet/edge/lead.go
+++ b/internal/fleet/edge/lead.go
@@ -61,9 +61,10 @@
 }
 
 // isFirst reports whether this VM is the first by name that reaches the store, among
-// itself and the VMs for which among returns true.
+// itself and the VMs for which among returns true. It is not for a while after a pause,
+// when all others seem silent.
 func (v *VM) isFirst(now time.Time, among func(sassafrastray.VM) bool) bool {
-	if v.replica.FailingFor(now) > 0 || v.self.State != sassafrastray.VMLive {
+	if !v.pauses.mayLead(now) || v.replica.FailingFor(now) > 0 || v.self.State != sassafrastray.VMLive {
 		return false
 	}
 	for _, m := range v.members.View(now) {
--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -258,7 +258,7 @@
 
 // checkStore updates whether the VM leads and watches the store. If another VM has
 // had later changes for behindTolerance, for instance because this one can't reach
-// the store, it requests that VM's copy.
+// the store, it requests that VM's copy; after a pause it does so at once.
 func (v *VM) checkStore(now time.Time) {
 	failing := v.replica.FailingFor(now)
 	v.metrics.storeUnreachable.Set(failing.Seconds())
@@ -272,7 +272,7 @@
 	if v.behindSince.IsZero() {
 		v.behindSince = now
 	}
-	if now.Sub(v.behindSince) < behindTolerance || v.copying || !v.isDue("copy", copyInterval, now) {
+	if v.pauses.mayLead(now) && now.Sub(v.behindSince) < behindTolerance || v.copying || !v.isDue("copy", copyInterval, now) {
 		return
 	}
 	if failing == 0 {
--- a/internal/traffic/ingress/admit.go
+++ b/internal/traffic/ingress/admit.go
@@ -11,6 +11,10 @@
 )
 
 const (
+	// pauseRetryAfter is the Retry-After of a request that the process was paused
+	// with.
+	pauseRetryAfter = 100 * time.Millisecond
+
 	// startRetryAfter is the Retry-After of a VM that has no configuration yet.
 	startRetryAfter = 500 * time.Millisecond
 
@@ -39,6 +43,7 @@
 // that is not allowed. It delays the request for as long as the team's quota
 // requires.
 func (h *Handler) admit(q *request) *refusal {
+	q.pauses = h.Pauses.Await()
 	s := h.snap.Load()
 	if s == nil {
 		r := notRun(sassafrastray.ReasonStaleConfig, "no configuration yet")
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -69,6 +69,13 @@
 		Observe(s sassafrastray.ServiceName, r sassafrastray.RouteName, v sassafrastray.VersionName, e rollout.Outcome)
 	}
 
+	// Pauses detects that the process was paused. It is safe for concurrent use.
+	Pauses interface {
+		// Await returns the number of pauses so far, and waits right after one
+		// until the VM's state is current again.
+		Await() uint64
+	}
+
 	// Splitter divides a route's requests among its services. It is safe for
 	// concurrent use.
 	Splitter interface {
@@ -89,6 +96,7 @@
 		Splits      Splitter
 		Disconnects *disconnect.Watcher
 		Metrics     *entry.Metrics
+		Pauses      Pauses
 		// Memory is the VM's memory in bytes, and LinkBytesPerSecond the capacity
 		// of its network link. Zero means unknown.
 		Memory             int64
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -42,6 +42,8 @@
 	arrived  time.Time
 	deadline time.Time
 	verdict  ratelimit.Verdict
+	// pauses is the number of pauses of the process before the request was admitted.
+	pauses uint64
 
 	// body is the whole body, or its beginning if rest is set.
 	body []byte
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -146,6 +146,14 @@
 func (h *Handler) try(
 	q *request, exclude []sassafrastray.BackendName, reserved *placement.Choice,
 ) (*attempt, *refusal) {
+	if h.Pauses.Await() != q.pauses {
+		// The key, the quota and the deadline were checked before the pause.
+		h.release(reserved)
+		h.refundToken(q)
+		r := notRun(sassafrastray.ReasonStaleConfig, "the VM was paused")
+		r.retryAfter = pauseRetryAfter
+		return nil, r
+	}
 	now := h.Clock.Now()
 	if !now.Before(q.deadline) {
 		h.release(reserved)
--- a/internal/traffic/ingress/serve_test.go
+++ b/internal/traffic/ingress/serve_test.go
@@ -35,7 +35,13 @@
 		ends    []placement.End
 	}
 
-	// allowAll implements Quotas, Retries and Rollouts. It admits every request,
+	// pauseCount implements Pauses with a number of pauses for each call.
+	pauseCount struct {
+		mu    sync.Mutex
+		calls []uint64
+	}
+
+	// allowAll implements Quotas, Retries, Rollouts and Pauses. It admits every request,
 	// and has no rollouts. It allows retries of requests that are idempotent or
 	// have not run, up to the route's limit on attempts.
 	allowAll struct{}
@@ -62,6 +68,7 @@
 
 func (allowAll) Take(sassafrastray.TeamName) ratelimit.Verdict { return ratelimit.Verdict{OK: true} }
 func (allowAll) Refund(sassafrastray.TeamName)                 {}
+func (allowAll) Await() uint64                                 { return 0 }
 func (allowAll) CountRequest(sassafrastray.ServiceName)        {}
 func (allowAll) HasToken(sassafrastray.ServiceName) bool       { return true }
 func (allowAll) Next(a retry.Attempt) retry.Decision {
@@ -121,7 +128,7 @@
 		},
 		Pool:      upstream.New(sassafrastray.SystemClock{}, upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second, MaxIdlePerAddress: 4, IDHeader: "Id"}),
 		Placement: p, Quotas: allowAll{}, Retries: allowAll{}, Rollouts: allowAll{}, Splits: split.New(), Disconnects: disconnect.New(),
-		Metrics: entry.NewMetrics(prometheus.NewRegistry()),
+		Metrics: entry.NewMetrics(prometheus.NewRegistry()), Pauses: allowAll{},
 	})
 	targets := []sassafrastray.Target{{Service: "s", Weight: 1}}
 	c := &sassafrastray.Config{Number: 1, Routes: []sassafrastray.Route{
@@ -199,3 +206,54 @@
 		})
 	}
 }
+
+func (p *pauseCount) Await() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.calls[0]
+	if len(p.calls) > 1 {
+		p.calls = p.calls[1:]
+	}
+	return n
+}
+
+// TestPausedRequest checks that a request which the process was paused with after its
+// admission is not sent: its key, its quota and its deadline were checked before the
+// pause. A response that a server has given is passed on all the same.
+func TestPausedRequest(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		pauses []uint64
+		first  int
+		status int
+		ran    int
+	}{
+		{"no pause", []uint64{1}, 200, 200, 1},
+		{"paused before the first try", []uint64{0, 1}, 200, 503, 0},
+		{"paused before the second try", []uint64{0, 0, 1}, 500, 500, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBackend(t, time.Millisecond, c.first)
+			p := &serverList{servers: []sassafrastray.BackendServer{{Name: "a", Address: b.address}, {Name: "b", Address: b.address}}}
+			h := newHandler(p)
+			h.Pauses = &pauseCount{calls: c.pauses}
+			var ctx fasthttp.RequestCtx
+			server, client := net.Pipe()
+			defer server.Close()
+			defer client.Close()
+			ctx.Init2(server, nil, false)
+			ctx.Request.Header.SetRequestURI("/read/x")
+			ctx.Request.Header.SetHost("h")
+			ctx.Request.Header.Set("Id", "r1")
+			h.Handle(&ctx)
+			if got := ctx.Response.StatusCode(); got != c.status {
+				t.Errorf("status %d, want %d: %s", got, c.status, ctx.Response.Body())
+			}
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if b.ran != c.ran || p.open != 0 {
+				t.Errorf("%d requests ran, want %d; %d reservations are not released", b.ran, c.ran, p.open)
+			}
+		})
+	}
+}
