--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -28,6 +28,7 @@
 	"sassafrastray/internal/fleet/member"
 	"sassafrastray/internal/fleet/replica"
 	"sassafrastray/internal/limit/ratelimit"
+	"sassafrastray/internal/operator/crash"
 	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/rollout/rollout"
 	"sassafrastray/internal/traffic/disconnect"
@@ -202,7 +203,7 @@
 // New returns a VM that does nothing until Run is called. Clock must keep running
 // while the machine is suspended, trafficClock need not.
 func New(opt Options, store sassafrastray.MetadataStore, clock, trafficClock sassafrastray.Clock, log *slog.Logger) (*VM, error) {
-	workers, err := ants.NewPool(maxWorkers, ants.WithNonblocking(true))
+	workers, err := ants.NewPool(maxWorkers, ants.WithNonblocking(true), ants.WithPanicHandler(func(r any) { crash.Report(log, "call", r) }))
 	if err != nil {
 		return nil, errors.Wrap(err, "worker pool")
 	}
@@ -312,6 +313,13 @@
 	return true
 }
 
+// run runs one step on the control goroutine. A step that fails unexpectedly ends
+// alone.
+func (v *VM) run(f task) {
+	defer crash.Contain(v.log, "control")
+	f(v.clock.Now())
+}
+
 // control runs tasks and ticks until the VM stops.
 func (v *VM) control() {
 	defer v.loops.Done()
@@ -322,9 +330,9 @@
 		case <-v.ctx.Done():
 			return
 		case f := <-v.tasks:
-			f(v.clock.Now())
+			v.run(f)
 		case <-t.C:
-			v.tick(v.clock.Now())
+			v.run(v.tick)
 		}
 	}
 }
--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -91,6 +91,7 @@
 func (v *VM) Heartbeat(h *gossip.Heartbeat) *gossip.Heartbeat {
 	answer := make(chan *gossip.Heartbeat, 1)
 	if !v.post(func(now time.Time) {
+		defer close(answer)
 		v.receive(h, now)
 		a := v.heartbeatFor(*v.newHeartbeat(now), h.VM, now)
 		a.Seen, a.Digest = v.members.Incarnation(h.VM.Name), v.fleetDigest()
@@ -103,16 +104,21 @@
 	}
 	select {
 	case a := <-answer:
-		return a
+		if a != nil {
+			return a
+		}
 	case <-v.ctx.Done():
-		return &gossip.Heartbeat{VM: v.opt.VM}
 	}
+	return &gossip.Heartbeat{VM: v.opt.VM}
 }
 
 // Copy returns the replica's topics that have changes later than the held revisions.
 func (v *VM) Copy(held map[sassafrastray.Topic]int64) []sassafrastray.Batch {
 	answer := make(chan []sassafrastray.Batch, 1)
-	if !v.post(func(now time.Time) { answer <- v.replica.NewerTopics(held, now) }) {
+	if !v.post(func(now time.Time) {
+		defer close(answer)
+		answer <- v.replica.NewerTopics(held, now)
+	}) {
 		return nil
 	}
 	select {
--- a/internal/fleet/edge/serve.go
+++ b/internal/fleet/edge/serve.go
@@ -16,6 +16,7 @@
 	"sassafrastray/internal/fleet/listener"
 	"sassafrastray/internal/fleet/replica"
 	"sassafrastray/internal/limit/ratelimit"
+	"sassafrastray/internal/operator/crash"
 	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/traffic/entry"
 	"sassafrastray/internal/traffic/placement"
@@ -82,17 +83,17 @@
 func (v *VM) listen() (*listener.Set, error) {
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{}))
 	return listener.Open([]listener.Spec{
-		{Name: "callers", Address: v.opt.VM.CallerAddress, Server: v.newServer(v.handler.Handle)},
-		{Name: "inner", Address: v.opt.VM.PeerAddress, Server: v.newServer(func(ctx *fasthttp.RequestCtx) { gossip.Handle(ctx, v) })},
-		{Name: "ready", Address: v.opt.Ready, Server: v.newServer(v.handleReady)},
-		{Name: "lookups", Address: v.opt.Lookups, Server: v.newServer(v.handleLookup)},
-		{Name: "metrics", Address: v.opt.Metrics, Server: v.newServer(metrics), Optional: true},
+		{Name: "callers", Address: v.opt.VM.CallerAddress, Server: v.newServer("callers", v.handler.Handle)},
+		{Name: "inner", Address: v.opt.VM.PeerAddress, Server: v.newServer("inner", func(ctx *fasthttp.RequestCtx) { gossip.Handle(ctx, v) })},
+		{Name: "ready", Address: v.opt.Ready, Server: v.newServer("ready", v.handleReady)},
+		{Name: "lookups", Address: v.opt.Lookups, Server: v.newServer("lookups", v.handleLookup)},
+		{Name: "metrics", Address: v.opt.Metrics, Server: v.newServer("metrics", metrics), Optional: true},
 	}, v.log)
 }
 
-func (v *VM) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
+func (v *VM) newServer(name string, h fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: h, ErrorHandler: entry.HandleMalformed, Name: "sassafrastray",
+		Handler: crash.Handler(v.log, name, h), ErrorHandler: entry.HandleMalformed, Name: "sassafrastray",
 		StreamRequestBody: true, MaxRequestBodySize: maxBufferedBody, DisablePreParseMultipartForm: true,
 		ReadBufferSize: maxHeaderSize, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		NoDefaultDate: true, NoDefaultServerHeader: true, NoDefaultContentType: true,
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/fleet/listener"
 	"sassafrastray/internal/fleet/member"
 	"sassafrastray/internal/limit/ratelimit"
 	"sassafrastray/internal/rollout/rollout"
@@ -28,7 +29,7 @@
 )
 
 const (
-	// maxMessageSize bounds an answer in bytes.
+	// maxMessageSize bounds a message and its answer in bytes.
 	maxMessageSize = 8 << 20
 
 	// progressTimeout bounds each wait for a part of a message.
@@ -184,32 +185,39 @@
 	switch string(ctx.Path()) {
 	case HeartbeatPath:
 		var h Heartbeat
-		if err := json.Unmarshal(ctx.PostBody(), &h); err != nil {
-			ctx.Error("heartbeat: "+err.Error(), fasthttp.StatusBadRequest)
-			return
+		if decode(ctx, "heartbeat", &h) {
+			reply(ctx, handler.Heartbeat(&h))
 		}
-		reply(ctx, handler.Heartbeat(&h))
 	case CopyPath:
 		var held map[sassafrastray.Topic]int64
-		if err := json.Unmarshal(ctx.PostBody(), &held); err != nil {
-			ctx.Error("copy: "+err.Error(), fasthttp.StatusBadRequest)
-			return
+		if decode(ctx, "copy", &held) {
+			reply(ctx, handler.Copy(held))
 		}
-		reply(ctx, handler.Copy(held))
 	case UpdatePath:
 		var u Update
-		if err := json.Unmarshal(ctx.PostBody(), &u); err != nil {
-			ctx.Error("news: "+err.Error(), fasthttp.StatusBadRequest)
-			return
+		if decode(ctx, "news", &u) {
+			u.Batch.MarkUnusable()
+			handler.Update(&u)
+			reply(ctx, true)
 		}
-		u.Batch.MarkUnusable()
-		handler.Update(&u)
-		reply(ctx, true)
 	default:
 		ctx.Error("unknown path", fasthttp.StatusNotFound)
 	}
 }
 
+// decode decodes a message. If it fails it answers with an error and returns false.
+func decode(ctx *fasthttp.RequestCtx, what string, v any) bool {
+	body, err := listener.ReadBody(ctx, maxMessageSize)
+	if err == nil {
+		err = json.Unmarshal(body, v)
+	}
+	if err != nil {
+		ctx.Error(what+": "+err.Error(), fasthttp.StatusBadRequest)
+		ctx.SetConnectionClose()
+	}
+	return err == nil
+}
+
 func reply(ctx *fasthttp.RequestCtx, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/internal/fleet/listener/listener.go
+++ b/internal/fleet/listener/listener.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -82,3 +83,19 @@
 		}
 	}
 }
+
+// ReadBody reads the whole body of a request. It returns an error if the body is
+// larger than limit bytes or ends early.
+func ReadBody(ctx *fasthttp.RequestCtx, limit int) ([]byte, error) {
+	if n := ctx.Request.Header.ContentLength(); n > limit {
+		return nil, errors.Newf("body of %d bytes, %d allowed", n, limit)
+	}
+	if !ctx.Request.IsBodyStream() {
+		return ctx.Request.Body(), nil
+	}
+	b, err := io.ReadAll(io.LimitReader(ctx.Request.BodyStream(), int64(limit)+1))
+	if err == nil && len(b) > limit {
+		err = errors.Newf("body of more than %d bytes", limit)
+	}
+	return b, errors.Wrap(err, "read body")
+}
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/fleet/listener"
 	"sassafrastray/internal/limit/quota"
 	"sassafrastray/internal/operator/config"
 	"sassafrastray/internal/traffic/upstream"
@@ -104,9 +105,8 @@
 // decode decodes a message. If it fails it answers the request with an error
 // and returns false.
 func decode(ctx *fasthttp.RequestCtx, v any) bool {
-	body := ctx.PostBody()
-	var err error
-	if string(ctx.Request.Header.ContentEncoding()) == compressedEncoding {
+	body, err := listener.ReadBody(ctx, maxMessageSize)
+	if err == nil && string(ctx.Request.Header.ContentEncoding()) == compressedEncoding {
 		body, err = decompress(body)
 	}
 	if err == nil {
@@ -114,6 +114,7 @@
 	}
 	if err != nil {
 		ctx.Error("message: "+err.Error(), fasthttp.StatusBadRequest)
+		ctx.SetConnectionClose()
 		return false
 	}
 	return true
--- a/internal/fleet/vm/heartbeat.go
+++ b/internal/fleet/vm/heartbeat.go
@@ -97,6 +97,7 @@
 func (v *VM) HandleHeartbeat(h *peer.Heartbeat) *peer.Heartbeat {
 	answer := make(chan *peer.Heartbeat, 1)
 	if !v.post(func(now time.Time) {
+		defer close(answer)
 		v.applyHeartbeat(h, time.Time{}, now)
 		a := v.heartbeat(now)
 		a.Relay = v.relayAnswer(h, now)
@@ -116,6 +117,9 @@
 // the answer to one of this VM's, requestedAt is when that was sent; otherwise it
 // is zero.
 func (v *VM) applyHeartbeat(h *peer.Heartbeat, requestedAt, now time.Time) {
+	if !h.VM.Reachable() {
+		return
+	}
 	v.applyRelay(h.Relay, now)
 	if !v.members.ApplyHeartbeat(h.MemberHeartbeat(), now) {
 		return
--- a/internal/fleet/vm/script_test.go
+++ b/internal/fleet/vm/script_test.go
@@ -37,6 +37,7 @@
 //	withdraw KEY | restore KEY    publishes the fleet without or with a key
 //	leave PATTERN                 publishes that backend servers leave
 //	quiet PATTERN DURATION        checks that they execute nothing new
+//	refused VM KEY DURATION       checks that no request with the key succeeds
 //	publish                       publishes the configuration again
 //	number VM N                   checks the configuration's number within 5 s
 //	outage on|off                 makes the platform unavailable, or ends that
@@ -130,6 +131,12 @@
 		s.w.publish()
 	case "quiet":
 		return s.quiet(f[1], s.duration(f[2]))
+	case "refused":
+		for end := time.Now().Add(s.duration(f[3])); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if a := s.w.ask(s.int(f[1]), request{method: "GET", path: "/orders", key: s.keys[f[2]]}); a.err == nil && a.status == fasthttp.StatusOK {
+				return fmt.Errorf("a request succeeded")
+			}
+		}
 	case "publish":
 		s.w.publish()
 	case "number":
--- a/internal/fleet/vm/serve.go
+++ b/internal/fleet/vm/serve.go
@@ -11,6 +11,7 @@
 	"sassafrastray/internal/fleet/listener"
 	"sassafrastray/internal/fleet/peer"
 	"sassafrastray/internal/limit/place"
+	"sassafrastray/internal/operator/crash"
 	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/traffic/entry"
 )
@@ -66,18 +67,18 @@
 func (v *VM) listen() (*listener.Set, error) {
 	inner := peer.NewServer(v.self, peer.NewToken([]byte(v.settings.Secret)), v, v.faults)
 	return listener.Open([]listener.Spec{
-		{Name: "callers", Address: v.settings.Callers, Server: v.server(v.handler.Handle)},
-		{Name: "inner", Address: v.settings.Inner, Server: v.server(inner.Handle)},
-		{Name: "operations", Address: v.settings.Operations, Server: v.server(v.operations())},
+		{Name: "callers", Address: v.settings.Callers, Server: v.server("callers", v.handler.Handle)},
+		{Name: "inner", Address: v.settings.Inner, Server: v.server("inner", inner.Handle)},
+		{Name: "operations", Address: v.settings.Operations, Server: v.server("operations", v.operations())},
 	}, v.log)
 }
 
 // Forward answers a request that another VM accepted.
 func (v *VM) Forward(ctx *fasthttp.RequestCtx) { v.handler.Forward(ctx) }
 
-func (v *VM) server(h fasthttp.RequestHandler) *fasthttp.Server {
+func (v *VM) server(name string, h fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: h, ErrorHandler: entry.HandleMalformed, Name: "sassafrastray",
+		Handler: crash.Handler(v.log, name, h), ErrorHandler: entry.HandleMalformed, Name: "sassafrastray",
 		StreamRequestBody: true, MaxRequestBodySize: maxBufferedBody,
 		DisablePreParseMultipartForm: true,
 		ReadBufferSize:               v.settings.Limits.Header,
--- a/internal/fleet/vm/vm.go
+++ b/internal/fleet/vm/vm.go
@@ -23,6 +23,7 @@
 	"sassafrastray/internal/limit/bandwidth"
 	"sassafrastray/internal/limit/place"
 	"sassafrastray/internal/limit/quota"
+	"sassafrastray/internal/operator/crash"
 	"sassafrastray/internal/operator/settings"
 	"sassafrastray/internal/rollout/evidence"
 	"sassafrastray/internal/rollout/move"
@@ -154,7 +155,7 @@
 	now := clock.Now()
 	inc := sassafrastray.Incarnation(now.UnixNano())
 	self := sassafrastray.VM{Name: set.Name, Domain: set.Domain, CallerAddress: set.Callers, PeerAddress: set.Inner, State: sassafrastray.VMLive}
-	workers, err := ants.NewPool(maxWorkers, ants.WithNonblocking(true))
+	workers, err := ants.NewPool(maxWorkers, ants.WithNonblocking(true), ants.WithPanicHandler(func(r any) { crash.Report(log, "call", r) }))
 	if err != nil {
 		return nil, errors.Wrap(err, "vm: worker pool")
 	}
@@ -227,6 +228,13 @@
 	return true
 }
 
+// run runs one step on the control goroutine. A step that fails unexpectedly ends
+// alone.
+func (v *VM) run(f task) {
+	defer crash.Contain(v.log, "control")
+	f(v.clock.Now())
+}
+
 // control runs tasks and ticks until the VM stops.
 func (v *VM) control() {
 	defer v.loops.Done()
@@ -238,7 +246,7 @@
 		case <-v.ctx.Done():
 			return
 		case f := <-v.tasks:
-			f(v.clock.Now())
+			v.run(f)
 		case <-v.quotas.shortage:
 			// Requests wait for quota, and the next tick may be too late for
 			// them. minShortageInterval bounds the cost when many wait.
@@ -258,7 +266,7 @@
 				v.tickQuotas(now)
 			}
 		case <-t.C:
-			v.tick(v.clock.Now())
+			v.run(v.tick)
 		}
 	}
 }
--- a/internal/operator/message/message.go
+++ b/internal/operator/message/message.go
@@ -27,6 +27,7 @@
 	VMSilent          = "VM not heard of any more"
 	VMHeardAgain      = "VM heard of again"
 	VMStalled         = "the VM stood still"
+	Crash             = "unexpected error in a task"
 	Draining          = "draining"
 	Serving           = "serving"
 )
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/operator/crash"
 	"sassafrastray/internal/rollout/rollout"
 	"sassafrastray/internal/traffic/hop"
 	"sassafrastray/internal/traffic/placement"
@@ -230,6 +231,7 @@
 	}
 	exclude = append(slices.Clone(exclude), a.choice.Server.Name)
 	t := time.AfterFunc(d, func() {
+		defer crash.Contain(h.Log, "second try")
 		if h.leaving.Load() || !h.Retries.HasToken(q.service) {
 			return
 		}
