--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -189,6 +189,11 @@
 		// behindSince is when another VM was first found to have later changes of
 		// the store.
 		behindSince time.Time
+		// digest is a hash of the digestKnown VMs that were known at digestAt.
+		digest      uint64
+		digestKnown int
+		digestAt    time.Time
+		rng         *rand.Rand
 		lastWrite   map[sassafrastray.ServiceName]time.Time
 		roundTrips  map[sassafrastray.RegionName]time.Duration
 	}
@@ -225,6 +230,7 @@
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.metrics = newMetrics(v.registry)
 	v.silence = newSilenceTracker()
+	v.rng = v.newRand()
 	v.members = member.New(opt.VM, memberOptions(opt.Regions), v.newRand())
 	v.buildTraffic()
 	return v, nil
--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -19,6 +19,11 @@
 	// watches that are caused by another VM failing to reach the store.
 	watchCheckInterval = 2 * time.Second
 
+	// messagesPerList is the mean number of messages, between VMs of a large fleet
+	// with different views of it, of which one lists the known VMs. Each list reaches
+	// VMs that pass it on, so all know a change after a few rounds.
+	messagesPerList = 8
+
 	// maxClockSetback is how far a VM's clock may have been set back between two of
 	// its incarnations, in nanoseconds.
 	maxClockSetback = sassafrastray.Incarnation(365 * 24 * time.Hour)
@@ -49,12 +54,7 @@
 
 // sendHeartbeat sends a heartbeat to one VM and processes the answer.
 func (v *VM) sendHeartbeat(to sassafrastray.VM, h *gossip.Heartbeat, now time.Time) {
-	m := v.heartbeatFor(*h, to, now)
-	m.Seen = v.members.Incarnation(to.Name)
-	m.Digest = v.fleetDigest()
-	if have := v.heartbeats[to.Name]; have == nil || have.Digest != m.Digest {
-		m.Fleet = v.knownVMs()
-	}
+	m := v.addressed(h, to, v.heartbeats[to.Name], now)
 	v.spawn(func() {
 		sent := v.trafficClock.Now()
 		answer, err := v.client.Heartbeat(to.PeerAddress, &m, heartbeatTimeout)
@@ -72,6 +72,29 @@
 	})
 }
 
+// addressed returns the heartbeat h as it is sent to a VM, whose latest one is have, or
+// nil if there is none.
+func (v *VM) addressed(h *gossip.Heartbeat, to sassafrastray.VM, have *gossip.Heartbeat, now time.Time) gossip.Heartbeat {
+	m := v.heartbeatFor(*h, to, now)
+	m.Seen = v.members.Incarnation(to.Name)
+	m.Digest, m.Known = v.fleetDigest(now)
+	if have == nil {
+		have = &gossip.Heartbeat{Known: m.Known}
+	}
+	if m.Digest != have.Digest && v.listsFleet(m.Known, have.Known) {
+		m.Fleet = v.knownVMs()
+	}
+	return m
+}
+
+// listsFleet reports whether a message to a VM with another view of the fleet lists
+// the known VMs. In a large fleet most views differ for a while after a start or a
+// change, so only some of the messages do, chosen at random, and those to VMs that know
+// few others.
+func (v *VM) listsFleet(known, receiverKnows int) bool {
+	return !v.members.Large() || 2*receiverKnows < known || v.rng.IntN(messagesPerList) == 0
+}
+
 // newHeartbeat returns a heartbeat with the VM's current state.
 func (v *VM) newHeartbeat(now time.Time) *gossip.Heartbeat {
 	v.sequence++
@@ -93,11 +116,7 @@
 	if !v.post(func(now time.Time) {
 		defer close(answer)
 		v.receive(h, now)
-		a := v.heartbeatFor(*v.newHeartbeat(now), h.VM, now)
-		a.Seen, a.Digest = v.members.Incarnation(h.VM.Name), v.fleetDigest()
-		if a.Digest != h.Digest {
-			a.Fleet = v.knownVMs()
-		}
+		a := v.addressed(v.newHeartbeat(now), h.VM, h, now)
 		answer <- &a
 	}) {
 		return &gossip.Heartbeat{VM: v.opt.VM}
@@ -208,11 +227,16 @@
 // knownVMs returns all VMs that this one knows, including itself.
 func (v *VM) knownVMs() []sassafrastray.VM { return append(v.members.Known(), v.self) }
 
-// fleetDigest returns a hash of the known VMs that does not depend on their order.
-func (v *VM) fleetDigest() uint64 {
-	var d uint64
-	for _, m := range v.knownVMs() {
-		d ^= xxhash.Sum64String(string(m.Name) + m.PeerAddress.String())
+// fleetDigest returns a hash of the known VMs that does not depend on their order, and
+// their number. It is computed once a tick, since every message has it.
+func (v *VM) fleetDigest(now time.Time) (digest uint64, known int) {
+	if v.digestKnown > 0 && now.Sub(v.digestAt) < tickInterval {
+		return v.digest, v.digestKnown
+	}
+	all := v.knownVMs()
+	for _, m := range all {
+		digest ^= xxhash.Sum64String(string(m.Name) + m.PeerAddress.String())
 	}
-	return d
+	v.digest, v.digestKnown, v.digestAt = digest, len(all), now
+	return digest, len(all)
 }
--- a/internal/fleet/edge/region_test.go
+++ b/internal/fleet/edge/region_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -37,21 +38,32 @@
 	return vms, regions
 }
 
+// countLists, if set, is called with each heartbeat that exchangeHeartbeats delivers.
+var countLists func(*gossip.Heartbeat)
+
+// newFleetVM returns a VM that knows no other and runs no goroutines.
+func newFleetVM(t testing.TB, vm sassafrastray.VM, clock sassafrastray.Clock) *VM {
+	t.Helper()
+	_, regions := newFleet(1)
+	v, err := New(Options{
+		VM: vm, Region: regions[vm.Domain], Regions: regions,
+		Bounds: sassafrastray.Bounds{QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaOvershootRequests: 20, MaxExposure: 0.1},
+	}, nil, clock, clock, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
 // newFleetVMs returns VMs that know each other but run no goroutines, and their
 // clock.
 func newFleetVMs(t *testing.T, each int) (map[sassafrastray.VMName]*VM, *manualClock) {
 	t.Helper()
-	list, regions := newFleet(each)
+	list, _ := newFleet(each)
 	clock := &manualClock{time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)}
 	out := make(map[sassafrastray.VMName]*VM)
 	for _, vm := range list {
-		v, err := New(Options{
-			VM: vm, Region: regions[vm.Domain], Regions: regions,
-			Bounds: sassafrastray.Bounds{QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaOvershootRequests: 20, MaxExposure: 0.1},
-		}, nil, clock, clock, slog.New(slog.DiscardHandler))
-		if err != nil {
-			t.Fatal(err)
-		}
+		v := newFleetVM(t, vm, clock)
 		v.learnVMs(list, clock.now)
 		out[vm.Name] = v
 	}
@@ -69,8 +81,15 @@
 				continue
 			}
 			messages++
-			request, answer := v.heartbeatFor(*v.newHeartbeat(now), to, now), o.heartbeatFor(*o.newHeartbeat(now), v.self, now)
+			request := v.addressed(v.newHeartbeat(now), to, v.heartbeats[to.Name], now)
+			if countLists != nil {
+				countLists(&request)
+			}
 			o.receive(&request, now)
+			answer := o.addressed(o.newHeartbeat(now), v.self, &request, now)
+			if countLists != nil {
+				countLists(&answer)
+			}
 			v.receive(&answer, now)
 		}
 	}
@@ -266,3 +285,105 @@
 		}
 	}
 }
+
+// TestListsAfterAStart lets a large fleet start whose VMs know only a part of the
+// others, as when they read the store's list while the others register. All must know
+// all after a few rounds, and a VM must not send the whole list to every other one
+// meanwhile.
+func TestListsAfterAStart(t *testing.T) {
+	const each, rounds = 20, 8
+	list, _ := newFleet(each)
+	vms, clock := newFleetVMs(t, 0)
+	for i := range list {
+		v := newFleetVM(t, list[i], clock)
+		for j := range list {
+			if (i*31+j*17)%10 < 6 {
+				v.learnVMs(list[j:j+1], clock.now)
+			}
+		}
+		vms[list[i].Name] = v
+	}
+	sent, lists := 0, 0
+	countLists = func(h *gossip.Heartbeat) {
+		sent++
+		if len(h.Fleet) > 0 {
+			lists++
+		}
+	}
+	defer func() { countLists = nil }()
+	for range rounds {
+		exchangeHeartbeats(vms, notCut, clock.now)
+		clock.now = clock.now.Add(time.Second)
+	}
+	for name, v := range vms {
+		if n := len(v.knownVMs()); n != len(list) {
+			t.Errorf("%s knows %d of %d VMs after %d rounds", name, n, len(list), rounds)
+		}
+	}
+	// The views agree after two rounds; until then one message in messagesPerList has
+	// a list.
+	if most := 2 * sent / rounds / messagesPerList; lists > most {
+		t.Errorf("%d of %d messages had a list, want at most %d", lists, sent, most)
+	}
+}
+
+// BenchmarkAddressed measures a heartbeat to one VM of a fleet of 294.
+func BenchmarkAddressed(b *testing.B) {
+	list, _ := newFleet(49)
+	clock := &manualClock{time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)}
+	v := newFleetVM(b, list[0], clock)
+	v.learnVMs(list, clock.now)
+	h := v.newHeartbeat(clock.now)
+	for b.Loop() {
+		v.addressed(h, list[1], nil, clock.now)
+	}
+}
+
+// BenchmarkControlSecond measures what one VM of a fleet of 294 with 190 teams does in a
+// second for the others: a heartbeat and an answer with each VM of its region, of which
+// a third serves callers, as they are on the wire, and the ticks.
+func BenchmarkControlSecond(b *testing.B) {
+	list, _ := newFleet(49)
+	clock := &manualClock{time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)}
+	v := newFleetVM(b, list[0], clock)
+	v.workers.Release()
+	v.learnVMs(list, clock.now)
+	teams := make([]sassafrastray.Team, 190)
+	uses := make(ratelimit.TeamUsage)
+	for i := range teams {
+		teams[i] = sassafrastray.Team{Name: sassafrastray.TeamName(fmt.Sprintf("team-%03d", i)), Rate: 50, Burst: 20}
+		uses[teams[i].Name] = ratelimit.Usage{Demand: float64(i) / 10, Admitted: i}
+	}
+	v.quotas.do(func(l *ratelimit.Limiter, now time.Time) { l.Configure(teams, now) })
+	var region []*gossip.Heartbeat
+	for i, vm := range list[1:98] {
+		h := &gossip.Heartbeat{VM: vm, Incarnation: 1, Ready: true, Config: 1, StoreReachable: true, Latest: v.replica.Latest()}
+		h.Digest, h.Known = v.fleetDigest(clock.now)
+		if h.Idle = i%3 > 0; !h.Idle {
+			h.Uses = uses
+		}
+		region = append(region, h)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for i, h := range region {
+			h.Sequence++
+			body, err := json.Marshal(h)
+			if err != nil {
+				b.Fatal(err)
+			}
+			var got gossip.Heartbeat
+			if err := json.Unmarshal(body, &got); err != nil {
+				b.Fatal(err)
+			}
+			v.receive(&got, clock.now)
+			if _, err := json.Marshal(v.addressed(v.newHeartbeat(clock.now), h.VM, h, clock.now)); err != nil {
+				b.Fatal(err)
+			}
+			if i%20 == 0 {
+				clock.now = clock.now.Add(tickInterval)
+				v.tick(clock.now)
+			}
+		}
+	}
+}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -60,9 +60,11 @@
 		Summary *Summary `json:"summary,omitempty"`
 		// Seen is the latest incarnation of the receiver that the sender knows.
 		Seen sassafrastray.Incarnation `json:"seen,omitempty"`
-		// Digest is a hash of the VMs that the sender knows. Fleet lists them, if
-		// the receiver's digest differed.
+		// Digest is a hash of the VMs that the sender knows, and Known their number.
+		// Fleet lists them, if the receiver's digest differed; in a large fleet only
+		// some of these messages have the list.
 		Digest uint64             `json:"digest,omitempty"`
+		Known  int                `json:"known,omitempty"`
 		Fleet  []sassafrastray.VM `json:"fleet,omitempty"`
 	}
 
