--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -257,7 +257,7 @@
 	v.disconnects = disconnect.New()
 	v.splits = split.New()
 	v.placement = &lockedPlacement{clock: v.clock, table: placement.New(placement.Options{
-		Self: v.self.Name, Region: v.opt.Region, Regions: v.opt.Regions, Bounds: v.opt.Bounds,
+		Self: v.self.Name, Domain: v.self.Domain, Region: v.opt.Region, Regions: v.opt.Regions, Bounds: v.opt.Bounds,
 	}, v.newRand())}
 	v.quotas = &lockedLimiter{clock: v.clock, limiter: ratelimit.New(ratelimit.Options{
 		FleetSize: assumedVMsPerDomain * len(v.opt.Regions), Window: v.opt.Bounds.QuotaWindow, Overshoot: v.opt.Bounds.QuotaOvershoot, OvershootRequests: v.opt.Bounds.QuotaOvershootRequests,
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -110,13 +110,14 @@
 		active  atomic.Int64
 		leaving atomic.Bool
 		memory  *memory
+		sizes   *sizes
 		pace    *rate.Limiter
 	}
 )
 
 // New returns a Handler that refuses all requests until it has a Snapshot.
 func New(d Deps) *Handler {
-	return &Handler{Deps: d, memory: newMemory(d.Memory), pace: newPace(d.LinkBytesPerSecond)}
+	return &Handler{Deps: d, memory: newMemory(d.Memory), sizes: newSizes(), pace: newPace(d.LinkBytesPerSecond)}
 }
 
 // Update replaces the Snapshot.
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -248,7 +248,7 @@
 	only, except, narrow := h.Rollouts.ChooseVersion(q.service)
 	c, ok := h.Placement.Pick(placement.Request{
 		Service: q.service, Object: q.object, Sticky: q.route.Sticky, Regions: q.regions, Only: only, Except: except,
-		Narrow: narrow, Priority: q.priority, Objective: q.route.LatencyObjective, TimeLeft: q.deadline.Sub(h.Clock.Now()), Exclude: exclude,
+		Narrow: narrow, Bytes: h.sizes.of(q.route.Name), Priority: q.priority, Objective: q.route.LatencyObjective, TimeLeft: q.deadline.Sub(h.Clock.Now()), Exclude: exclude,
 	})
 	h.Metrics.Choices.WithLabelValues(string(c.Reason)).Inc()
 	return c, ok
@@ -404,8 +404,18 @@
 	}
 }
 
+// recordSize records the sizes of a request and its answer, where they are known.
+func (h *Handler) recordSize(q *request, a *attempt) {
+	bytes := len(a.body)
+	if a.stream != nil {
+		bytes = a.resp.Header.ContentLength()
+	}
+	h.sizes.record(q.route.Name, max(0, bytes)+max(0, q.ctx.Request.Header.ContentLength()))
+}
+
 // deliver passes a response on to the caller.
 func (h *Handler) deliver(q *request, a *attempt) {
+	h.recordSize(q, a)
 	out := &q.ctx.Response
 	closing := out.ConnectionClose()
 	a.resp.Header.CopyTo(&out.Header)
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -55,6 +55,13 @@
 	// one of the two that the object prefers.
 	nonPreferredPenalty = 0.3
 
+	// heavyBytes is the mean size of the bodies from which an object's
+	// preferred server is one of the VM's failure domain, if that has
+	// minNearServers. The servers of each domain of the region then know the
+	// object, and its bodies don't cross between domains.
+	heavyBytes     = 16 << 10
+	minNearServers = 2
+
 	// detourFraction is the fraction of requests that may leave the region
 	// that their object is assigned to when it would answer too late. Unused
 	// detours accumulate up to maxDetours.
@@ -93,6 +100,9 @@
 		// Priority is the request's urgency; 0 is the most urgent.
 		Priority  int
 		Objective time.Duration
+		// Bytes is the mean size of the bodies of such requests and their
+		// answers together.
+		Bytes int
 		// TimeLeft is the time until the caller stops waiting for the
 		// answer.
 		TimeLeft time.Duration
@@ -263,7 +273,26 @@
 			remoteServers = append(remoteServers, list...)
 		}
 	}
-	return t.rankServers(svc, localServers, r, object, true, now), t.rankServers(svc, remoteServers, r, object, inRemoteShare, now)
+	near := t.nearDomain(svc, localServers, r)
+	return t.rankServers(svc, localServers, near, r, object, true, now), t.rankServers(svc, remoteServers, "", r, object, inRemoteShare, now)
+}
+
+// nearDomain returns the failure domain of which a server is preferred for the
+// request's object, or "" for any of the region.
+func (t *Table) nearDomain(svc *service, list []*server, r *Request) sassafrastray.DomainName {
+	if r.Bytes < heavyBytes {
+		return ""
+	}
+	n := 0
+	for _, s := range list {
+		if s.Domain == t.opt.Domain && !s.Leaving && !s.evacuated && svc.allowsVersion(s, r) {
+			n++
+		}
+	}
+	if n < minNearServers {
+		return ""
+	}
+	return t.opt.Domain
 }
 
 func allowed(rules [2][]sassafrastray.RegionName, region sassafrastray.RegionName) bool {
@@ -275,11 +304,14 @@
 	return true
 }
 
-// rankServers ranks servers by expected time. assumeKnown says that the object's
+// rankServers ranks servers by expected time. near is the failure domain of the
+// preferred ones, or empty. assumeKnown says that the object's
 // requests usually go to these servers, so that the preferred one is assumed to
 // know the object.
-func (t *Table) rankServers(svc *service, list []*server, r *Request, object uint64, assumeKnown bool, now time.Time) ranking {
-	first, second := preferred(svc, list, r, object)
+func (t *Table) rankServers(
+	svc *service, list []*server, near sassafrastray.DomainName, r *Request, object uint64, assumeKnown bool, now time.Time,
+) ranking {
+	first, second := preferred(svc, list, near, r, object)
 	out := ranking{best: candidate{cost: math.MaxInt64}, next: candidate{cost: math.MaxInt64}}
 	for _, s := range list {
 		if !svc.allowsVersion(s, r) || !s.usable(now) || slices.Contains(r.Exclude, s.Name) {
@@ -313,14 +345,14 @@
 }
 
 // preferred returns the two servers that an object prefers, even if they cannot
-// take a request now.
-func preferred(svc *service, list []*server, r *Request, object uint64) (first, second *server) {
+// take a request now. If near is not empty, they are of that failure domain.
+func preferred(svc *service, list []*server, near sassafrastray.DomainName, r *Request, object uint64) (first, second *server) {
 	if object == 0 {
 		return nil, nil
 	}
 	var top, next uint64
 	for _, s := range list {
-		if s.Leaving || s.evacuated || !svc.allowsVersion(s, r) {
+		if s.Leaving || s.evacuated || !svc.allowsVersion(s, r) || near != "" && s.Domain != near {
 			continue
 		}
 		switch h := mix(object, s.hash); {
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -52,6 +52,7 @@
 	// bounds.
 	Options struct {
 		Self   sassafrastray.VMName
+		Domain sassafrastray.DomainName
 		Region sassafrastray.RegionName
 		// Regions maps each failure domain to its region.
 		Regions map[sassafrastray.DomainName]sassafrastray.RegionName
