--- a/internal/fleet/edge/region_test.go
+++ b/internal/fleet/edge/region_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -9,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"sassafrastray"
 	"sassafrastray/internal/fleet/gossip"
 	"sassafrastray/internal/limit/ratelimit"
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -5,11 +5,12 @@
 package gossip
 
 import (
-	"encoding/json"
 	"io"
 	"net/netip"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
