--- /dev/null
+++ b/internal/traffic/placement/rank.go
@@ -0,0 +1,146 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"sassafrastray"
+)
+
+// rankByRegion ranks the servers of the VM's region and those of all other regions.
+// inRemoteShare says that the object is in the share of other regions.
+func (t *Table) rankByRegion(svc *service, r *Request, object uint64, inRemoteShare bool, now time.Time) (local, remote ranking) {
+	var localServers, remoteServers []*server
+	for region, list := range svc.servers {
+		switch {
+		case !allowed(r.Regions, region):
+		case region == t.opt.Region:
+			localServers = list
+		default:
+			remoteServers = append(remoteServers, list...)
+		}
+	}
+	near := t.nearDomain(svc, localServers, r)
+	return t.rankServers(svc, localServers, near, r, object, true, now), t.rankServers(svc, remoteServers, "", r, object, inRemoteShare, now)
+}
+
+// nearDomain returns the failure domain of which a server is preferred for the
+// request's object, or "" for any of the region.
+func (t *Table) nearDomain(svc *service, list []*server, r *Request) sassafrastray.DomainName {
+	if r.Bytes < heavyBytes {
+		return ""
+	}
+	n := 0
+	for _, s := range list {
+		if s.Domain == t.opt.Domain && !s.Leaving && !s.evacuated && svc.allowsVersion(s, r) {
+			n++
+		}
+	}
+	if n < minNearServers {
+		return ""
+	}
+	return t.opt.Domain
+}
+
+func allowed(rules [2][]sassafrastray.RegionName, region sassafrastray.RegionName) bool {
+	for _, list := range rules {
+		if len(list) > 0 && !slices.Contains(list, region) {
+			return false
+		}
+	}
+	return true
+}
+
+// rankServers ranks servers by expected time. near is the failure domain of the
+// preferred ones, or empty. assumeKnown says that the object's
+// requests usually go to these servers, so that the preferred one is assumed to
+// know the object.
+func (t *Table) rankServers(
+	svc *service, list []*server, near sassafrastray.DomainName, r *Request, object uint64, assumeKnown bool, now time.Time,
+) ranking {
+	first, second := preferred(svc, list, near, r, object)
+	out := ranking{best: candidate{cost: math.MaxInt64}, next: candidate{cost: math.MaxInt64}}
+	for _, s := range list {
+		if !svc.allowsVersion(s, r) || !s.usable(now) || slices.Contains(r.Exclude, s.Name) {
+			continue
+		}
+		if _, ok := t.coldGap(s); s.isCold(now) && !ok {
+			continue
+		}
+		c := t.estimate(svc, s, object, assumeKnown && s == first, now)
+		if !c.warm {
+			// An object that the server does not know occupies a slot
+			// for longer, and evicts another from the server's cache.
+			c.cost += time.Duration(svc.unknownPenalty() * float64(svc.work(false)-svc.work(true)))
+			if s != first && s != second {
+				c.cost += time.Duration(nonPreferredPenalty * float64(svc.work(false)))
+			}
+		}
+		out.considered++
+		if r.Narrow && c.load < float64(s.Slots) {
+			out.best, out.next = c, out.best
+			return out
+		}
+		switch {
+		case c.cost < out.best.cost:
+			out.best, out.next = c, out.best
+		case c.cost < out.next.cost:
+			out.next = c
+		}
+	}
+	return out
+}
+
+// preferred returns the two servers that an object prefers, even if they cannot
+// take a request now. If near is not empty, they are of that failure domain.
+func preferred(svc *service, list []*server, near sassafrastray.DomainName, r *Request, object uint64) (first, second *server) {
+	if object == 0 {
+		return nil, nil
+	}
+	var top, next uint64
+	for _, s := range list {
+		if s.Leaving || s.evacuated || !svc.allowsVersion(s, r) || near != "" && s.Domain != near {
+			continue
+		}
+		switch h := mix(object, s.hash); {
+		case first == nil || h > top:
+			second, next = first, top
+			first, top = s, h
+		case second == nil || h > next:
+			second, next = s, h
+		}
+	}
+	return first, second
+}
+
+// allowsVersion reports whether the request may go to the server's version.
+func (s *service) allowsVersion(v *server, r *Request) bool {
+	switch {
+	case r.Only != "":
+		return v.Version == r.Only
+	case v.Version == r.Except:
+		return false
+	}
+	return s.base[v.Version]
+}
+
+// estimate estimates the time until the server would answer. isPreferred says that
+// the server is the object's preferred one and is therefore assumed to know it.
+func (t *Table) estimate(svc *service, s *server, object uint64, isPreferred bool, now time.Time) candidate {
+	s.decay(now)
+	c := candidate{server: s, preferred: isPreferred, load: s.load(t.regionPeers, now)}
+	c.warm = object == 0 || isPreferred || s.knows(object)
+	c.work = time.Duration(float64(svc.work(c.warm)) * s.slowness)
+	if s.isCold(now) {
+		c.work *= 2
+	}
+	slots := float64(max(1, s.Slots))
+	if c.load >= slots {
+		c.wait = time.Duration(float64(svc.meanWork) * s.slowness * (c.load - slots + 1) / slots)
+	}
+	c.cost = t.distance(s.region) + c.work + c.wait +
+		time.Duration(loadPenalty*float64(svc.warmWork)*min(1, c.load/slots)) +
+		time.Duration(s.failureRate*float64(failurePenalty))
+	return c
+}
--- a/internal/traffic/upstream/body.go
+++ b/internal/traffic/upstream/body.go
@@ -89,19 +89,6 @@
 	b.expiry = time.AfterFunc(b.deadline.Sub(b.now()), func() { b.c.Close() })
 }
 
-// Discard ends a response whose body is not wanted. A short rest is read, so that the
-// connection can be reused.
-func Discard(resp *fasthttp.Response) {
-	b, ok := resp.BodyStream().(*responseBody)
-	if !ok {
-		return
-	}
-	b.deadline = earlier(b.now().Add(maxDiscardTime), b.deadline)
-	// The error is ignored: a body that can't be read closes its connection.
-	_, _ = io.CopyN(io.Discard, b, maxDiscardedBytes)
-	_ = b.Close()
-}
-
 func (b *responseBody) finish(keep bool) {
 	if b.done {
 		return
