--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -56,9 +56,9 @@
 
 	// heavyBytes is the mean size of the bodies from which an object's
 	// preferred server is one of the VM's failure domain, if that has
-	// minNearServers. The servers of each domain of the region then know the
-	// object, and its bodies don't cross between domains.
-	heavyBytes     = 16 << 10
+	// minNearServers. Its bodies then don't cross between domains, but each
+	// domain's servers have to learn the object, which callers wait for.
+	heavyBytes     = 64 << 10
 	minNearServers = 2
 
 	// detourFraction is the fraction of requests that may leave the region
