--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -352,7 +352,7 @@
 		return
 	}
 	v.handledPauses = pauses
-	v.log.Warn(message.VMStalled, "pauses", pauses)
+	v.log.Warn(message.VMStalled, "pause", v.pauses.lastLength())
 	v.quotas.handlePause()
 	v.cancelWatches("")
 	delete(v.nextDue, "beat")
--- a/internal/fleet/edge/pause.go
+++ b/internal/fleet/edge/pause.go
@@ -28,9 +28,10 @@
 	sleep func(time.Duration)
 
 	mu sync.Mutex
-	// active is when the process was last known to run, and resumed when the latest
-	// pause was noticed.
+	// active is when the process was last known to run, resumed when the latest
+	// pause was noticed, and length how long it was.
 	active, resumed time.Time
+	length          time.Duration
 	pauses          uint64
 }
 
@@ -56,8 +57,8 @@
 func (g *pauseGuard) check(now time.Time) (pauses uint64, resumed time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now.Sub(g.active) > pauseThreshold {
-		g.pauses, g.resumed = g.pauses+1, now
+	if d := now.Sub(g.active); d > pauseThreshold {
+		g.pauses, g.resumed, g.length = g.pauses+1, now, d
 	}
 	if now.After(g.active) {
 		g.active = now
@@ -65,6 +66,13 @@
 	return g.pauses, g.resumed
 }
 
+// lastLength returns the length of the latest pause.
+func (g *pauseGuard) lastLength() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.length
+}
+
 // mayLead reports whether no pause was noticed within leadAfterPause.
 func (g *pauseGuard) mayLead(now time.Time) bool {
 	pauses, resumed := g.check(now)
--- a/internal/fleet/edge/pause_test.go
+++ b/internal/fleet/edge/pause_test.go
@@ -87,8 +87,8 @@
 		}
 	}
 	clock.now = clock.now.Add(2 * pauseThreshold)
-	if n := g.Await(); n != 1 || slept != resumeHold {
-		t.Errorf("after a pause: %d pauses and a wait of %v, want 1 and %v", n, slept, resumeHold)
+	if n := g.Await(); n != 1 || slept != resumeHold || g.lastLength() != 2*pauseThreshold {
+		t.Errorf("after a pause of %v: %d pauses and a wait of %v, want 1 and %v", g.lastLength(), n, slept, resumeHold)
 	}
 	slept = 0
 	clock.now = clock.now.Add(resumeHold / 2)
