Earn a team's quota after a start instead of granting it

Cause: a VM's part of a whole window could be used up in an instant, and only the process remembered that it had been. A restart counted a fifth as used and granted the rest again. Ruled out by the decision logs: shares that are too large (they add up to at most 1.03) and overlap with the VMs that stay.

Change: a token bucket for each VM's share, empty at the start; a larger share adds no tokens. A VM that does not know its demand yet uses an even share and reports so. It asks the store for the fleet first and admits nothing until it knows its size; until now it assumed twelve VMs, in larger fleets too. In light use, as reported, a VM may admit up to twelve requests before it has their tokens. Requests of a team above its rate no longer wait for tokens. The model now drops waiting requests of a killed VM, as a process does.

Conclusion: the bound holds without memory as far as shares add up to one; small teams pay for it in the first seconds after a restart.

--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -105,7 +105,7 @@
 	if c := v.replica.Config(); c != nil {
 		h.Config = c.Number
 	}
-	v.quotas.do(func(l *ratelimit.Limiter, now time.Time) { h.Uses = l.ReportUsage(now) })
+	v.quotas.do(func(l *ratelimit.Limiter, now time.Time) { h.Uses, h.New = l.ReportUsage(now), l.IsNew(now) })
 	v.rollouts.do(func(t *rollout.Tracker, _ time.Time) { h.Evidence = t.Evidence() })
 	return h
 }
@@ -159,6 +159,9 @@
 		v.incarnation = h.Seen + 1
 	}
 	v.learnVMs(h.Fleet, now)
+	if digest, known := v.fleetDigest(now); h.Digest == digest && h.Known == known && known > 1 {
+		v.quotas.setFleetKnown()
+	}
 	if !v.members.ApplyHeartbeat(h.Member(), now) {
 		return
 	}
--- a/internal/fleet/edge/locked.go
+++ b/internal/fleet/edge/locked.go
@@ -94,6 +94,10 @@
 	return needed
 }
 
+func (q *lockedLimiter) setFleetKnown() {
+	q.do(func(l *ratelimit.Limiter, now time.Time) { l.SetFleetKnown(now) })
+}
+
 func (q *lockedLimiter) handlePause() {
 	q.do(func(l *ratelimit.Limiter, now time.Time) { l.HandlePause(now) })
 }
--- a/internal/fleet/edge/serve.go
+++ b/internal/fleet/edge/serve.go
@@ -59,6 +59,7 @@
 	stopDisconnects := make(chan struct{})
 	go v.disconnects.Run(stopDisconnects)
 	v.loops.Add(2 + len(replica.Topics))
+	v.readVMs()
 	go v.control()
 	go v.register()
 	for _, t := range replica.Topics {
--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -353,6 +353,9 @@
 				}
 			}
 			v.learnVMs(vms, now)
+			if slices.ContainsFunc(vms, func(vm sassafrastray.VM) bool { return vm.Name == v.self.Name }) {
+				v.quotas.setFleetKnown()
+			}
 			v.removeRegistrations(vms, now)
 		})
 	})
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -48,6 +48,8 @@
 		// Idle VMs are left out of look-ups, since others of their region are
 		// larger.
 		Idle bool `json:"idle,omitempty"`
+		// New VMs do not know the demand of their teams yet.
+		New bool `json:"new,omitempty"`
 		// Config is the number of the VM's configuration, Latest the revision of the
 		// latest change of each topic in its replica of the store, and
 		// StoreReachable whether it reaches the store.
@@ -111,6 +113,9 @@
 	if h.Idle {
 		r.Idle = 1
 	}
+	if h.New {
+		r.New = 1
+	}
 	return r
 }
 
--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -13,10 +13,12 @@
 // the evenly divided rate. While a team uses little of its quota, each VM admits
 // a few requests beyond its share.
 //
-// A team's quota in any window is its rate times the window plus its burst. A VM
-// admits a request if it has admitted fewer than its share of the quota within
-// the window, and if the admissions reported by all VMs leave room for it. The
-// second condition keeps the bound while a team's requests move between VMs.
+// A team's quota in any window is its rate times the window plus its burst. Each VM
+// keeps a token bucket for its share of it. A bucket is empty when the VM starts, and a
+// larger share adds no tokens: both are earned by time. So what all VMs admit in a
+// window is bounded by the sum of their shares, whatever VMs have forgotten and however
+// often they restart. While a team uses little of its quota, a VM may admit a few
+// requests before it has the tokens for them.
 //
 // The package does no I/O. Callers must serialize all calls.
 package ratelimit
@@ -51,10 +53,6 @@
 	riseTimeConstant = 400 * time.Millisecond
 	fallTimeConstant = 3 * time.Second
 
-	// minEvenFraction is the fraction of an even share that a VM keeps however
-	// many requests the others report as admitted.
-	minEvenFraction = 0.3
-
 	// riseDeviations is how many standard deviations of the request count are
 	// subtracted from the fast average, so that random variation does not count
 	// as a rise.
@@ -69,34 +67,43 @@
 	// random variation.
 	heartbeatMinGrowth = 0.5
 
-	// heartbeatMinUse is the fraction of its budget that a VM must have used
-	// for an immediate heartbeat, so that the heartbeat precedes any refusal.
-	heartbeatMinUse = 0.5
-
-	// overlapFraction is the fraction of a team's quota by which the VMs' shares
-	// may overlap while they change within a window; Options.Overshoot has to
-	// cover it. overshootFraction of Options.OvershootRequests is divided among
-	// the VMs in addition.
-	overlapFraction   = 0.13
-	overshootFraction = 0.4
-
-	// lightUseFraction is the fraction of what all VMs together may admit for a
-	// team below which they admit spare requests beyond their shares. The spare
-	// requests of all VMs are at most spareFraction of Options.OvershootRequests.
-	// They absorb random clusters of a few requests at one VM.
-	lightUseFraction = 0.8
-	spareFraction    = 1.2
+	// heartbeatMaxTokens is the fraction of its bucket that a VM may have left for
+	// an immediate heartbeat, so that the heartbeat precedes any refusal.
+	heartbeatMaxTokens = 0.8
+
+	// reserveFraction is the fraction of the most requests that a team may have
+	// within a window that no VM uses. It covers shares that overlap while they
+	// change. refillFraction is the fraction of Options.Overshoot by which the
+	// buckets refill faster than the team's rate, and minBurstFraction the least
+	// fraction that is their capacity.
+	reserveFraction  = 0.05
+	refillFraction   = 1.0
+	minBurstFraction = 0.08
+
+	// While all VMs together have admitted less than lightUseFraction of what a team
+	// may have within a window, a VM may admit requests before it has their tokens:
+	// lightBurst at once, and lightBudgetFactor times its share within the window.
+	// This absorbs random clusters of a few requests at one VM.
+	lightUseFraction  = 0.6
+	lightBurst        = 12
+	lightBudgetFactor = 1.1
+
+	// newPeriod is how long after its start a VM's demand is not known.
+	newPeriod = 1200 * time.Millisecond
 
 	// startupPeriod is how long after its start a VM assumes a fleet of at least
-	// Options.FleetSize VMs, however few it knows.
+	// Options.FleetSize VMs, if it can't learn how many there are.
 	startupPeriod = 7 * time.Second
 
 	// maxDelay bounds how long an admitted request waits for its token.
-	maxDelay = 250 * time.Millisecond
+	// maxStartDelay is that bound while the bucket of a team within its rate has been
+	// empty for less than a window.
+	maxDelay      = 250 * time.Millisecond
+	maxStartDelay = time.Second
 
-	// initialUseFraction is the fraction of its budget that counts as used when
-	// a VM starts, because a previous process of the VM may have used it.
-	initialUseFraction = 0.2
+	// unknownWait is the wait of a request while the VM does not know how many VMs
+	// share the quota.
+	unknownWait = 300 * time.Millisecond
 
 	// minRetryWait and maxRetryWait bound the time after which a refused
 	// request is told to retry.
@@ -138,12 +145,14 @@
 		// Wait is how long to wait before a retry of a refused request.
 		Wait time.Duration
 		// Share is the VM's fraction of the team's rate, and DemandAge the age
-		// of the oldest demand report that it is based on. Budget is how many
-		// requests the VM may admit within the window, Used how many it has
-		// admitted, and OthersUsed how many the other VMs have reported.
-		Share                    float64
-		DemandAge                time.Duration
-		Budget, Used, OthersUsed int
+		// of the oldest demand report that it is based on. Tokens is how many the
+		// bucket held before the request, and Capacity the most that it can hold.
+		// Used is how many requests the VM has admitted within the window, and
+		// OthersUsed how many the other VMs have reported.
+		Share            float64
+		DemandAge        time.Duration
+		Tokens, Capacity float64
+		Used, OthersUsed int
 	}
 
 	// Limiter enforces one VM's share of the rates of all teams.
@@ -158,10 +167,12 @@
 		heartbeatDue bool
 		// idle is set while no callers are sent to this VM.
 		idle bool
-		// firstShareAt is when a share was computed for the first time.
-		firstShareAt time.Time
-		// configured is set once the first teams are known.
-		configured bool
+		// fleetKnown is set once all VMs are known, whether or not they are heard
+		// from. startedAt is when the VM was first asked for its usage or a share.
+		fleetKnown bool
+		startedAt  time.Time
+		// reportedNew is set if the last heartbeat said that the VM is new.
+		reportedNew bool
 	}
 
 	// sentReport is the usage that a heartbeat of this VM reported.
@@ -173,10 +184,12 @@
 	// Report is what a VM, or the VMs of a region together, report.
 	Report struct {
 		Uses TeamUsage `json:"uses,omitempty"`
-		// VMs is the number of VMs, and Idle the number of those to which no
-		// callers are sent.
+		// VMs is the number of VMs, Idle the number of those to which no callers
+		// are sent, and New the number of those that started so recently that their
+		// demand is not known.
 		VMs  int `json:"vms"`
 		Idle int `json:"idle,omitempty"`
+		New  int `json:"new,omitempty"`
 	}
 
 	// peer is another VM, or the VMs of another region.
@@ -187,22 +200,41 @@
 		knownVMs int
 	}
 
+	// fleet is what a VM knows of the VMs that share a team's quota: their number,
+	// and of those whose demand is known the number, the number to which callers are
+	// sent, and the demand and the admitted requests of all but this one. Age is that
+	// of the oldest report.
+	fleet struct {
+		vms, heard, active int
+		demand             float64
+		admitted           int
+		age                time.Duration
+	}
+
 	team struct {
 		rate, burst float64
 		// admitted holds the times of the requests within the window, the
 		// oldest first, including those delayed into the future.
 		admitted []time.Time
-		// fastRate and slowRate are moving averages of the request rate as of
-		// countedAt.
-		fastRate, slowRate float64
-		countedAt          time.Time
-		// share is the VM's fraction of the rate, and budget how many requests
-		// it may admit within the window. It may admit spare more while all VMs
-		// together have admitted fewer than lightUseLimit. othersAdmitted is
+		// fastRate and slowRate are moving averages of the request rate from
+		// countedFrom to countedAt.
+		fastRate, slowRate     float64
+		countedFrom, countedAt time.Time
+		// tokens is the content of the bucket as of refilledAt. It is negative while
+		// admitted requests wait for their tokens. emptyAt is when the bucket was
+		// last emptied: at a start of the VM, after a pause, or when it learned of
+		// the team.
+		tokens     float64
+		refilledAt time.Time
+		emptyAt    time.Time
+		// share is the VM's fraction of the quota, refill the tokens per second and
+		// capacity the most tokens of its bucket.
+		share            float64
+		refill, capacity float64
+		// lightBudget is how many requests the VM may admit within the window while
+		// all VMs together have admitted fewer than lightUseLimit. othersAdmitted is
 		// how many the other VMs have admitted.
-		share           float64
-		budget          float64
-		spare           int
+		lightBudget     float64
 		lightUseLimit   float64
 		othersAdmitted  int
 		demandAge       time.Duration
@@ -238,39 +270,48 @@
 			continue
 		}
 		t := l.teams[c.Name]
-		fresh := t == nil
-		if fresh {
-			t = &team{countedAt: now}
+		if t == nil {
+			t = &team{countedFrom: now, countedAt: now, refilledAt: now, emptyAt: now}
 		}
+		t.refillTo(now)
 		t.rate, t.burst = c.Rate, float64(c.Burst)
 		next[c.Name] = t
 		l.computeShare(t, c.Name, now)
-		if fresh && !l.configured {
-			t.addAdmitted(int(initialUseFraction*t.budget), now)
-		}
 	}
-	l.teams, l.configured = next, l.configured || len(next) > 0
+	l.teams = next
 }
 
-// addAdmitted records n requests as admitted now, in place of requests that may
-// have been admitted without a record.
-func (t *team) addAdmitted(n int, now time.Time) {
-	for range n {
-		t.admitted = append(t.admitted, now)
-	}
-}
-
-// HandlePause counts all budgets as used after the VM was paused: its knowledge
-// of the other VMs is outdated, and they may have used its share.
+// HandlePause empties all buckets after the VM was paused: its knowledge of the other
+// VMs is outdated, and they may have used its share.
 func (l *Limiter) HandlePause(now time.Time) {
 	for _, p := range l.peers {
 		p.heardAt = time.Time{}
 	}
 	for name, t := range l.teams {
 		l.computeShare(t, name, now)
-		t.admitted = t.admitted[:0]
-		t.addAdmitted(int(math.Ceil(t.budget)), now)
+		t.tokens, t.refilledAt, t.emptyAt = min(0, t.tokens), now, now
+	}
+}
+
+// SetFleetKnown tells that SetPeerSize was called for all VMs of the fleet, whether or
+// not they have been heard from.
+func (l *Limiter) SetFleetKnown(now time.Time) {
+	if l.fleetKnown {
+		return
+	}
+	l.fleetKnown = true
+	for name, t := range l.teams {
+		l.computeShare(t, name, now)
+	}
+}
+
+// IsNew reports whether the VM started so recently that its demand is not known. It uses
+// an even share then, which the other VMs leave it.
+func (l *Limiter) IsNew(now time.Time) bool {
+	if l.startedAt.IsZero() {
+		l.startedAt = now
 	}
+	return now.Sub(l.startedAt) < newPeriod
 }
 
 // SetIdle sets whether this VM is idle: no callers are sent to it.
@@ -290,19 +331,17 @@
 	if now.Sub(t.shareComputedAt) >= shareInterval {
 		l.computeShare(t, name, now)
 	}
-	budget := t.limit()
-	v := Verdict{Share: t.share, DemandAge: t.demandAge, Budget: budget, Used: len(t.admitted), OthersUsed: t.othersAdmitted}
-	if reported := l.reported[name].Demand; t.demand() > max(heartbeatGrowthFactor*reported, reported+heartbeatMinGrowth) && float64(len(t.admitted)) >= heartbeatMinUse*float64(budget) {
-		l.heartbeatDue = true
+	t.refillTo(now)
+	v := Verdict{
+		Share: t.share, DemandAge: t.demandAge, Tokens: t.tokens, Capacity: t.capacity,
+		Used: len(t.admitted), OthersUsed: t.othersAdmitted,
 	}
-	if len(t.admitted) < budget {
-		t.admitted = append(t.admitted, now)
-		v.OK = true
-		return v
+	if reported := l.reported[name].Demand; t.demand() > max(heartbeatGrowthFactor*reported, reported+heartbeatMinGrowth) && t.tokens <= heartbeatMaxTokens*t.capacity {
+		l.heartbeatDue = true
 	}
-	// The next request fits once the oldest excess request has left the window.
-	v.Wait = t.admitted[len(t.admitted)-budget].Add(l.opt.Window).Sub(now)
-	if v.Wait <= maxDelay {
+	v.Wait = l.wait(t, now)
+	if v.Wait <= t.maxDelay(now, l.opt.Window) {
+		t.tokens--
 		t.admitted = append(t.admitted, now.Add(v.Wait))
 		v.OK, v.Delay, v.Wait = true, v.Wait, 0
 		return v
@@ -311,6 +350,45 @@
 	return v
 }
 
+// wait returns how long a request has to wait until it may be admitted.
+func (l *Limiter) wait(t *team, now time.Time) time.Duration {
+	missing := 1 - t.tokens
+	if missing <= 0 || t.inLightUse(now, l.opt.Window) && missing <= lightBurst-t.capacity {
+		return 0
+	}
+	if t.refill <= 0 {
+		return unknownWait
+	}
+	return min(math.MaxInt32*time.Millisecond, time.Duration(missing/t.refill*float64(time.Second)))
+}
+
+// inLightUse reports whether the team uses little of its quota, and this VM less than
+// its share. In the first window after the bucket was emptied that is not known.
+func (t *team) inLightUse(now time.Time, window time.Duration) bool {
+	used := float64(len(t.admitted))
+	return now.Sub(t.emptyAt) >= window && used+1 <= max(1, t.lightBudget) && used+float64(t.othersAdmitted) < t.lightUseLimit
+}
+
+// maxDelay returns how long an admitted request may wait. The requests of a team above
+// its rate don't wait: each of them would, and none would be served sooner.
+func (t *team) maxDelay(now time.Time, window time.Duration) time.Duration {
+	switch {
+	case t.slowRate > t.refill:
+		return 0
+	case now.Sub(t.emptyAt) < window:
+		return maxStartDelay
+	}
+	return maxDelay
+}
+
+// refillTo adds the tokens of the time until now.
+func (t *team) refillTo(now time.Time) {
+	if d := now.Sub(t.refilledAt); d > 0 {
+		t.tokens = min(t.capacity, t.tokens+t.refill*d.Seconds())
+		t.refilledAt = now
+	}
+}
+
 // NeedsHeartbeat reports whether a heartbeat should be sent at once: a team nears
 // its budget or was refused, and the other VMs don't know its demand yet.
 func (l *Limiter) NeedsHeartbeat() bool { return l.heartbeatDue }
@@ -320,67 +398,88 @@
 func (l *Limiter) Refund(name sassafrastray.TeamName) {
 	if t := l.teams[name]; t != nil && len(t.admitted) > 0 {
 		t.admitted = t.admitted[:len(t.admitted)-1]
+		t.tokens = min(t.capacity, t.tokens+1)
 	}
 }
 
 // computeShare computes the VM's share of the team's quota.
 func (l *Limiter) computeShare(t *team, name sassafrastray.TeamName, now time.Time) {
-	t.shareComputedAt, t.demandAge = now, 0
-	quota := t.rate*l.opt.Window.Seconds() + t.burst
-	maxAdmitted := (1+l.opt.Overshoot-overlapFraction)*quota + overshootFraction*float64(l.opt.OvershootRequests)
+	t.shareComputedAt = now
+	t.refillTo(now)
+	maxAdmitted := (1+l.opt.Overshoot)*(t.rate*l.opt.Window.Seconds()+t.burst) + float64(l.opt.OvershootRequests)
+	refill := min((1+refillFraction*l.opt.Overshoot)*t.rate, (1-reserveFraction-minBurstFraction)*maxAdmitted/l.opt.Window.Seconds())
+	f := l.fleet(name, now)
 	ownDemand := min(t.demand(), l.confirmedUsage(now)[name].Demand)
-	totalDemand, othersAdmitted, heard, unreachable, active := ownDemand, 0, 1, 0, 0
-	if !l.idle {
-		active = 1
+	switch {
+	case f.vms == 0:
+		t.share = 0
+	case f.heard == 0:
+		t.share = 1 / float64(f.vms)
+	default:
+		share := evenFraction / float64(f.heard)
+		if assumed := assumedDemand; !l.idle || ownDemand > 0 {
+			if l.idle {
+				assumed = 0
+			}
+			share += (1 - evenFraction) * (ownDemand + assumed) / (f.demand + ownDemand + assumedDemand*float64(max(1, f.active)))
+		}
+		t.share = share * float64(f.heard) / float64(f.vms)
+	}
+	t.othersAdmitted, t.demandAge = f.admitted, f.age
+	t.lightUseLimit = lightUseFraction * maxAdmitted
+	if f.vms > 0 {
+		t.lightUseLimit *= float64(f.heard) / float64(f.vms)
 	}
+	capacity := t.capacity
+	t.lightBudget = lightBudgetFactor * t.share * maxAdmitted
+	t.refill = t.share * refill
+	t.capacity = max(1, t.share*((1-reserveFraction)*maxAdmitted-refill*l.opt.Window.Seconds()))
+	if t.tokens > 0 && capacity > 0 && (t.capacity < capacity || t.inLightUse(now, l.opt.Window)) {
+		t.tokens *= t.capacity / capacity
+	}
+	t.tokens = min(t.tokens, t.capacity)
+}
+
+// fleet returns what is known of the VMs that share the team's quota. Its vms are zero
+// while this VM doesn't know how many there are.
+func (l *Limiter) fleet(name sassafrastray.TeamName, now time.Time) (f fleet) {
+	isNew := l.IsNew(now)
+	if l.reportedNew && !isNew {
+		l.heartbeatDue = true
+	}
+	f.vms = 1
 	for from, p := range l.peers {
+		known := max(p.VMs, p.knownVMs)
 		switch age := now.Sub(p.heardAt); {
 		case age <= peerTimeout:
 			u := p.Uses[name]
-			totalDemand += u.Demand
-			othersAdmitted += u.Admitted
-			heard += p.VMs
-			active += p.VMs - p.Idle
-			unreachable += max(0, p.knownVMs-p.VMs)
-			t.demandAge = max(t.demandAge, age)
+			f.demand += u.Demand
+			f.admitted += u.Admitted
+			f.heard += p.VMs - p.New
+			f.active += max(0, p.VMs-p.New-p.Idle)
+			f.age = max(f.age, age)
 		case age > peerExpiry && !p.heardAt.IsZero():
 			delete(l.peers, from)
-		default:
-			unreachable += p.knownVMs
+			continue
 		}
+		f.vms += known
 	}
-	if l.firstShareAt.IsZero() {
-		l.firstShareAt = now
+	switch {
+	case l.fleetKnown:
+	case now.Sub(l.startedAt) < startupPeriod:
+		f.vms = 0
+	default:
+		f.vms = max(f.vms, l.opt.FleetSize)
 	}
-	if now.Sub(l.firstShareAt) < startupPeriod {
-		unreachable = max(unreachable, l.opt.FleetSize-heard)
+	if isNew {
+		f.heard = 0
+		return f
 	}
-	vms := float64(heard)
-	share := evenFraction / vms
-	if assumed := assumedDemand; !l.idle || ownDemand > 0 {
-		if l.idle {
-			assumed = 0
-		}
-		share += (1 - evenFraction) * (ownDemand + assumed) / (totalDemand + assumedDemand*float64(max(1, active)))
-	}
-	reachableFraction := vms / (vms + float64(unreachable))
-	t.share = reachableFraction * share
-	t.othersAdmitted, t.lightUseLimit = othersAdmitted, lightUseFraction*maxAdmitted*reachableFraction
-	t.spare = 0
+	f.heard++
 	if !l.idle {
-		t.spare = int(spareFraction * float64(l.opt.OvershootRequests) / float64(max(1, active)+unreachable))
-	}
-	t.budget = min(t.share*maxAdmitted, max(minEvenFraction*reachableFraction*maxAdmitted/vms, reachableFraction*maxAdmitted-float64(othersAdmitted)))
-}
-
-// limit returns how many requests the VM may admit within the window, including
-// spare ones.
-func (t *team) limit() int {
-	n := max(1, int(t.budget))
-	if float64(t.othersAdmitted+len(t.admitted)) < t.lightUseLimit {
-		n += t.spare
+		f.active++
 	}
-	return n
+	return f
 }
 
 // confirmedUsage returns the newest usage that was reported before the last
@@ -429,5 +528,7 @@
 // average, or the fast one less its random variation if that is higher.
 func (t *team) demand() float64 {
 	n := t.fastRate * riseTimeConstant.Seconds()
-	return max(t.slowRate, (n-riseDeviations*math.Sqrt(n))/riseTimeConstant.Seconds())
+	age := t.countedAt.Sub(t.countedFrom)
+	slow := t.slowRate / (1 - math.Exp(-float64(max(age, riseTimeConstant))/float64(fallTimeConstant)))
+	return max(slow, (n-riseDeviations*math.Sqrt(n))/riseTimeConstant.Seconds())
 }
--- a/internal/limit/ratelimit/ratelimit_test.go
+++ b/internal/limit/ratelimit/ratelimit_test.go
@@ -39,15 +39,17 @@
 		nextHeartbeat map[sassafrastray.VMName]time.Time
 		inTransit     []delivery
 		admitted      []time.Time
-		sent          int
-		refused       int
+		// waiting holds the admitted requests of each VM that wait for their tokens.
+		waiting map[sassafrastray.VMName][]time.Time
+		sent    int
+		refused int
 	}
 
 	// delivery is a heartbeat in transit.
 	delivery struct {
 		at       time.Time
 		from, to sassafrastray.VMName
-		uses     TeamUsage
+		report   Report
 	}
 )
 
@@ -56,7 +58,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), now: start,
 		team:     sassafrastray.Team{Name: "t", Rate: rate, Burst: burst},
 		limiters: map[sassafrastray.VMName]*Limiter{}, partition: map[sassafrastray.VMName]int{},
-		dead: map[sassafrastray.VMName]bool{}, nextHeartbeat: map[sassafrastray.VMName]time.Time{},
+		dead: map[sassafrastray.VMName]bool{}, waiting: map[sassafrastray.VMName][]time.Time{}, nextHeartbeat: map[sassafrastray.VMName]time.Time{},
 	}
 	for i := range vms {
 		name := sassafrastray.VMName(fmt.Sprint("vm-", i))
@@ -76,6 +78,7 @@
 			l.SetPeerSize(known.Source(), 1)
 		}
 	}
+	l.SetFleetKnown(s.now)
 	s.dead[name] = false
 	s.nextHeartbeat[name] = s.now.Add(time.Duration(s.rng.IntN(1000)) * time.Millisecond)
 }
@@ -84,12 +87,16 @@
 func (s *simulation) step() {
 	s.now = s.now.Add(time.Millisecond)
 	for _, name := range s.names {
+		s.dispatch(name)
 		early := s.limiters[name].NeedsHeartbeat() && !s.now.Before(s.nextHeartbeat[name].Add(-750*time.Millisecond))
 		if s.dead[name] || s.now.Before(s.nextHeartbeat[name]) && !early {
 			continue
 		}
 		s.nextHeartbeat[name] = s.now.Add(time.Second)
-		d := s.limiters[name].ReportUsage(s.now)
+		d := Report{Uses: s.limiters[name].ReportUsage(s.now), VMs: 1, Idle: s.idle[name]}
+		if s.limiters[name].IsNew(s.now) {
+			d.New = 1
+		}
 		for _, to := range s.names {
 			if to != name {
 				s.inTransit = append(s.inTransit, delivery{s.now.Add(time.Duration(1+s.rng.IntN(60)) * time.Millisecond), name, to, d})
@@ -102,7 +109,7 @@
 		case s.now.Before(d.at):
 			pending = append(pending, d)
 		case !s.dead[d.to] && s.partition[d.from] == s.partition[d.to]:
-			s.limiters[d.to].UpdatePeer(d.from.Source(), Report{Uses: d.uses, VMs: 1, Idle: s.idle[d.from]}, s.now)
+			s.limiters[d.to].UpdatePeer(d.from.Source(), d.report, s.now)
 		}
 	}
 	s.inTransit = pending
@@ -115,12 +122,27 @@
 	}
 	s.sent++
 	if v := s.limiters[name].Take("t", s.now); v.OK {
-		s.admitted = append(s.admitted, s.now.Add(v.Delay))
+		s.waiting[name] = append(s.waiting[name], s.now.Add(v.Delay))
 	} else {
 		s.refused++
 	}
 }
 
+// dispatch sends the waiting requests of a VM that have their tokens. Those of a dead
+// VM end with it.
+func (s *simulation) dispatch(name sassafrastray.VMName) {
+	if s.dead[name] {
+		s.waiting[name] = nil
+	}
+	s.waiting[name] = slices.DeleteFunc(s.waiting[name], func(at time.Time) bool {
+		if at.After(s.now) {
+			return false
+		}
+		s.admitted = append(s.admitted, s.now)
+		return true
+	})
+}
+
 // maxInWindow returns the greatest number of requests admitted within any window.
 func maxInWindow(admitted []time.Time) int {
 	slices.SortFunc(admitted, time.Time.Compare)
--- a/internal/limit/ratelimit/report.go
+++ b/internal/limit/ratelimit/report.go
@@ -9,7 +9,7 @@
 // bounded returns the report with each figure in the range that it can have.
 func (r Report) bounded() Report {
 	out := Report{Uses: make(TeamUsage, len(r.Uses)), VMs: min(max(r.VMs, 1), maxVMs)}
-	out.Idle = min(max(r.Idle, 0), out.VMs)
+	out.Idle, out.New = min(max(r.Idle, 0), out.VMs), min(max(r.New, 0), out.VMs)
 	for team, u := range r.Uses {
 		out.Uses[team] = Usage{Demand: min(max(u.Demand, 0), maxFigure), Admitted: min(max(u.Admitted, 0), maxFigure)}
 	}
@@ -27,6 +27,7 @@
 	}
 	r.VMs += o.VMs
 	r.Idle += o.Idle
+	r.New += o.New
 }
 
 // UpdatePeer records the report of another VM, or of the VMs of a region.
@@ -63,7 +64,7 @@
 			out[name] = u
 		}
 	}
-	l.reported, l.heartbeatDue = out, false
+	l.reported, l.heartbeatDue, l.reportedNew = out, false, l.IsNew(now)
 	l.reports = append(l.reports, sentReport{now, out})
 	return out
 }
--- a/internal/limit/ratelimit/restart_test.go
+++ b/internal/limit/ratelimit/restart_test.go
@@ -19,7 +19,7 @@
 	down   time.Duration
 }
 
-// run plays the case for 30 s. Callers go to the VMs that are up. It returns the
+// run plays the case until ten seconds after its last restart. Callers go to the VMs that are up. It returns the
 // greatest number of requests admitted in a window, and the sent and refused requests
 // of the ten seconds after the last restart.
 func (c restartCase) run(seed uint64) (most, sent, refused int, bound float64) {
@@ -64,6 +64,7 @@
 						c.at = append(c.at, ms*time.Millisecond)
 					}
 					t.Run(fmt.Sprintf("%d of %d/rate %.0f/at %v", killed, vms, rate, c.at), func(t *testing.T) {
+						t.Parallel()
 						for seed := uint64(1); seed <= 4; seed++ {
 							if most, _, _, bound := c.run(seed); float64(most) > bound {
 								t.Errorf("seed %d: %d requests within %v, bound %.0f", seed, most, window, bound)
@@ -85,6 +86,7 @@
 	} {
 		c.load, c.killed, c.down, c.at = 0.625, c.vms, 500*time.Millisecond, []time.Duration{4 * time.Second}
 		t.Run(fmt.Sprintf("%d VMs/rate %.0f", c.vms, c.rate), func(t *testing.T) {
+			t.Parallel()
 			sent, refused := 0, 0
 			for seed := uint64(1); sent < 8000; seed++ {
 				_, n, r, _ := c.run(seed)
--- a/internal/traffic/ingress/log.go
+++ b/internal/traffic/ingress/log.go
@@ -30,7 +30,7 @@
 		"request", q.id, "object", q.object, "route", q.routeName(), "team", q.team, "service", q.service, "config", q.config,
 		"reason", reason, "status", q.ctx.Response.StatusCode(), "tries", q.tries, "took", now.Sub(q.arrived),
 		"left", q.deadline.Sub(now), "share", q.verdict.Share, "demands", q.verdict.DemandAge, "delay", q.verdict.Delay,
-		"room", q.verdict.Budget, "used", q.verdict.Used, "others", q.verdict.OthersUsed,
+		"tokens", q.verdict.Tokens, "capacity", q.verdict.Capacity, "used", q.verdict.Used, "others", q.verdict.OthersUsed,
 	}
 	args = appendChoice(args, &q.choice)
 	if r != nil {
