Ignore impossible usage of other VMs, and earn nothing at once after a pause

Cause: a bucket whose share falls to almost nothing loses its tokens, where a window kept one request; and the longer wait after an emptied bucket applied after a pause too. Ruled out: the setup of the tests alone; it had to learn the fleet and let time pass, as a VM does at its start, and both tests still failed then.

Change: figures of a team that no VM can have (negative, above 100,000 requests a second) are dropped in place of being cut to a bound. What a bucket earns in the first second after a pause counts as used.

Measured: go test ./internal/fleet/edge fails in 24 subtests without this and passes with it; TestRestartsKeepTheBound and TestNeverAboveTheBound pass.

--- a/internal/fleet/edge/message_test.go
+++ b/internal/fleet/edge/message_test.go
@@ -51,6 +51,10 @@
 		b.Revision, b.Complete = 3, true
 		v.applyBatch(b, v.clock.Now())
 	}
+	// The bucket of the team is empty at the start.
+	v.quotas.setFleetKnown()
+	clock := v.clock.(*manualClock)
+	clock.now = clock.now.Add(2 * time.Second)
 	return v
 }
 
--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -246,10 +246,11 @@
 	// shareInterval is how long a computed share is used.
 	shareInterval = 200 * time.Millisecond
 
-	// maxVMs and maxFigure bound the number of VMs and the figures of a team in a
-	// report.
+	// maxVMs and maxFigure bound the number of VMs and the admitted requests of a team
+	// in a report, and maxDemand the demand of a team at one VM.
 	maxVMs    = 1 << 16
 	maxFigure = 1 << 30
+	maxDemand = 1e5
 )
 
 // New returns the Limiter of a VM that knows no other VM.
@@ -282,14 +283,15 @@
 }
 
 // HandlePause empties all buckets after the VM was paused: its knowledge of the other
-// VMs is outdated, and they may have used its share.
+// VMs is outdated, and they may have used its share. Requests don't wait for what it
+// earns next.
 func (l *Limiter) HandlePause(now time.Time) {
 	for _, p := range l.peers {
 		p.heardAt = time.Time{}
 	}
 	for name, t := range l.teams {
 		l.computeShare(t, name, now)
-		t.tokens, t.refilledAt, t.emptyAt = min(0, t.tokens), now, now
+		t.tokens, t.refilledAt, t.emptyAt = min(0, t.tokens)-t.refill*maxStartDelay.Seconds(), now, now
 	}
 }
 
--- a/internal/limit/ratelimit/report.go
+++ b/internal/limit/ratelimit/report.go
@@ -6,12 +6,15 @@
 	"sassafrastray"
 )
 
-// bounded returns the report with each figure in the range that it can have.
+// bounded returns the report with the numbers of VMs in the range that they can have,
+// and without the teams whose figures are not.
 func (r Report) bounded() Report {
 	out := Report{Uses: make(TeamUsage, len(r.Uses)), VMs: min(max(r.VMs, 1), maxVMs)}
 	out.Idle, out.New = min(max(r.Idle, 0), out.VMs), min(max(r.New, 0), out.VMs)
 	for team, u := range r.Uses {
-		out.Uses[team] = Usage{Demand: min(max(u.Demand, 0), maxFigure), Admitted: min(max(u.Admitted, 0), maxFigure)}
+		if u.Demand >= 0 && u.Demand <= maxDemand*float64(out.VMs) && u.Admitted >= 0 && u.Admitted <= maxFigure {
+			out.Uses[team] = u
+		}
 	}
 	return out
 }
