Keep the limits that backend servers name

Cause: nothing read the header.

Change: placement keeps each server's limit. Few VMs send regularly, 1 + half the limit, those of the server's region first and then by rendezvous hash, so no message is needed to agree on them; the others together send a tenth. Heartbeats carry at most eight limits, so that changes are known within a second. What no limit allows goes elsewhere or is refused at once, as limited.

--- a/dialect.go
+++ b/dialect.go
@@ -19,14 +19,17 @@
 		// Expect names the backend server that a request is intended for.
 		Expect string
 		// NotRun marks a response of a backend server that did not execute the
-		// request. Load carries the server's BackendLoad.
-		NotRun, Load string
+		// request. Load carries the server's BackendLoad, and Limit the requests per
+		// second that it takes from all VMs together.
+		NotRun, Load, Limit string
 
 		ParseDeadline  func([]byte) (time.Duration, bool)
 		FormatDeadline func(time.Duration) string
 		// FormatWait returns the value of the Retry-After header.
 		FormatWait func(time.Duration) string
 		ParseLoad  func([]byte) (BackendLoad, bool)
+		// ParseLimit returns requests per second, or false if the value can't be read.
+		ParseLimit func([]byte) (float64, bool)
 	}
 
 	// BackendLoad is the load that a backend server reports: the requests that
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -381,12 +381,18 @@
 	v.updateLookups(now)
 }
 
-// logServerEvents logs the backend servers that placement stopped or resumed using.
+// logServerEvents logs the backend servers that placement stopped or resumed using, and
+// the limits that they name.
 func (v *VM) logServerEvents(events []placement.Event) {
 	for _, e := range events {
-		if e.BlockedFor > 0 {
+		switch {
+		case e.Limit > 0:
+			v.log.Warn(message.ServerLimited, "backend", e.Server, "service", e.Service, "limit", e.Limit)
+		case e.LimitEnded:
+			v.log.Info(message.ServerUnlimited, "backend", e.Server, "service", e.Service)
+		case e.BlockedFor > 0:
 			v.log.Warn(message.ServerExcluded, "backend", e.Server, "service", e.Service, "end", e.End, "for", e.BlockedFor)
-		} else {
+		default:
 			v.log.Info(message.ServerReadmitted, "backend", e.Server, "service", e.Service)
 		}
 	}
--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -107,6 +107,7 @@
 	}
 	v.quotas.do(func(l *ratelimit.Limiter, now time.Time) { h.Uses, h.New = l.ReportUsage(now), l.IsNew(now) })
 	v.rollouts.do(func(t *rollout.Tracker, _ time.Time) { h.Evidence = t.Evidence() })
+	v.placement.do(func(t *placement.Table, now time.Time) { h.Limits = t.LimitReports(now) })
 	return h
 }
 
@@ -170,8 +171,11 @@
 	}
 	v.silence.recordHeartbeat(h.VM.Name, now)
 	stored := *h
-	stored.Fleet = nil
+	stored.Fleet, stored.Limits = nil, nil
 	v.heartbeats[h.VM.Name] = &stored
+	if len(h.Limits) > 0 {
+		v.placement.do(func(t *placement.Table, now time.Time) { t.ReceiveLimits(h.Limits, now) })
+	}
 	switch {
 	case h.Summary != nil:
 		v.updateRegion(h.Summary, now)
@@ -200,14 +204,12 @@
 	all := v.silence.unexpired(slices.Concat(v.members.Known(), vms), v.members.IsDirect, now)
 	v.members.ApplyList(all, now)
 	var others []sassafrastray.VM
-	var names []sassafrastray.VMName
 	for _, m := range all {
 		if m.Name != v.self.Name {
 			others = append(others, m)
-			names = append(names, m.Name)
 		}
 	}
-	v.placement.do(func(t *placement.Table, _ time.Time) { t.SetFleet(names) })
+	v.placement.do(func(t *placement.Table, _ time.Time) { t.SetFleet(others) })
 	v.retries.setReserve(v.retryReserve(len(others)))
 	v.updatePeerSizes(others)
 }
--- a/internal/fleet/edge/locked.go
+++ b/internal/fleet/edge/locked.go
@@ -53,6 +53,16 @@
 	p.table.Done(c, e, took, load, p.clock.Now())
 }
 
+// SetLimit records the limit that the choice's server named.
+func (p *lockedPlacement) SetLimit(c placement.Choice, perSecond float64) {
+	p.do(func(t *placement.Table, now time.Time) { t.SetLimit(c, perSecond, now) })
+}
+
+// EndLimit records that the choice's server named no limit.
+func (p *lockedPlacement) EndLimit(c placement.Choice) {
+	p.do(func(t *placement.Table, now time.Time) { t.EndLimit(c, now) })
+}
+
 func (p *lockedPlacement) do(f func(t *placement.Table, now time.Time)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"sassafrastray/internal/fleet/member"
 	"sassafrastray/internal/limit/ratelimit"
 	"sassafrastray/internal/rollout/rollout"
+	"sassafrastray/internal/traffic/placement"
 	"sassafrastray/internal/traffic/upstream"
 )
 
@@ -58,6 +59,8 @@
 		StoreReachable bool                          `json:"store,omitempty"`
 		Uses           ratelimit.TeamUsage           `json:"uses,omitempty"`
 		Evidence       rollout.Evidence              `json:"evidence,omitempty"`
+		// Limits are the limits that backend servers named to the sender lately.
+		Limits []placement.LimitReport `json:"limits,omitempty"`
 		// Summary replaces Uses and Evidence in heartbeats between the regions of a
 		// large fleet.
 		Summary *Summary `json:"summary,omitempty"`
--- a/internal/traffic/ingress/endless_test.go
+++ b/internal/traffic/ingress/endless_test.go
@@ -50,6 +50,9 @@
 	return placement.Choice{Server: s, Reason: placement.Preferred, Expected: 10 * time.Millisecond}, ok && len(r.Exclude) == 0
 }
 
+func (serversByObject) SetLimit(placement.Choice, float64) {}
+func (serversByObject) EndLimit(placement.Choice)          {}
+
 func (serversByObject) Done(placement.Choice, placement.End, time.Duration, *sassafrastray.BackendLoad) {
 }
 
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -38,6 +38,10 @@
 	Placement interface {
 		Pick(r placement.Request) (placement.Choice, bool)
 		Done(c placement.Choice, e placement.End, took time.Duration, load *sassafrastray.BackendLoad)
+		// SetLimit and EndLimit record whether the choice's server named a limit, in
+		// requests per second.
+		SetLimit(c placement.Choice, perSecond float64)
+		EndLimit(c placement.Choice)
 	}
 
 	// Quotas admits requests within the rates of teams. It is safe for
--- a/internal/traffic/ingress/limit_test.go
+++ b/internal/traffic/ingress/limit_test.go
@@ -115,6 +115,20 @@
 	return t.Table.Pick(r, time.Now())
 }
 
+// SetLimit records a limit.
+func (t *table) SetLimit(c placement.Choice, perSecond float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Table.SetLimit(c, perSecond, time.Now())
+}
+
+// EndLimit ends a limit.
+func (t *table) EndLimit(c placement.Choice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Table.EndLimit(c, time.Now())
+}
+
 // Done ends a request.
 func (t *table) Done(c placement.Choice, e placement.End, took time.Duration, load *sassafrastray.BackendLoad) {
 	t.mu.Lock()
--- a/internal/traffic/ingress/memory_test.go
+++ b/internal/traffic/ingress/memory_test.go
@@ -23,6 +23,9 @@
 	return placement.Choice{Server: p.BackendServer, Reason: placement.Preferred, Expected: 10 * time.Millisecond}, true
 }
 
+func (anyServer) SetLimit(placement.Choice, float64) {}
+func (anyServer) EndLimit(placement.Choice)          {}
+
 func (anyServer) Done(placement.Choice, placement.End, time.Duration, *sassafrastray.BackendLoad) {}
 
 // TestLargeBodiesShareMemory sends requests with large bodies and answers from callers
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -12,6 +12,7 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/operator/crash"
+	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/rollout/rollout"
 	"sassafrastray/internal/traffic/hop"
 	"sassafrastray/internal/traffic/placement"
@@ -342,7 +343,34 @@
 		end, seen = placement.Failed, rollout.Late
 	}
 	h.Placement.Done(a.choice, end, took, load)
+	if a.resp != nil && end != placement.Wrong {
+		h.reportLimit(a, r == nil)
+	}
 	if counts {
 		h.Rollouts.Observe(q.service, q.route.Name, a.choice.Server.Version, seen)
 	}
 }
+
+// reportLimit reports the limit that the server named in its response. If it named
+// several, the lowest binds. Only a response to a request that ran ends the limit by
+// naming none; a value that can't be read changes nothing.
+func (h *Handler) reportLimit(a *attempt, ran bool) {
+	values := a.resp.Header.PeekAll(h.Dialect.Limit)
+	lowest, readable := 0.0, false
+	for _, b := range values {
+		n, ok := h.Dialect.ParseLimit(b)
+		if !ok {
+			h.Log.Warn(message.LimitUnreadable, "backend", a.choice.Server.Name, "value", string(b))
+			continue
+		}
+		if !readable || n < lowest {
+			lowest, readable = n, true
+		}
+	}
+	switch {
+	case readable:
+		h.Placement.SetLimit(a.choice, lowest)
+	case ran && len(values) == 0:
+		h.Placement.EndLimit(a.choice)
+	}
+}
--- a/internal/traffic/ingress/serve_test.go
+++ b/internal/traffic/ingress/serve_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -66,6 +67,9 @@
 	p.ends = append(p.ends, e)
 }
 
+func (p *serverList) SetLimit(placement.Choice, float64) {}
+func (p *serverList) EndLimit(placement.Choice)          {}
+
 func (allowAll) Take(sassafrastray.TeamName) ratelimit.Verdict { return ratelimit.Verdict{OK: true} }
 func (allowAll) Refund(sassafrastray.TeamName)                 {}
 func (allowAll) Await() uint64                                 { return 0 }
@@ -120,11 +124,15 @@
 	h := New(Deps{
 		Clock: sassafrastray.SystemClock{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Dialect: sassafrastray.Dialect{
-			ID: "Id", Deadline: "Deadline", Object: "Object", Key: "Key", Team: "Team", Expect: "Expect", NotRun: "Shed", Load: "Load",
+			ID: "Id", Deadline: "Deadline", Object: "Object", Key: "Key", Team: "Team", Expect: "Expect", NotRun: "Shed", Load: "Load", Limit: "Server-Limit",
 			ParseDeadline:  func([]byte) (time.Duration, bool) { return 0, false },
 			FormatDeadline: func(d time.Duration) string { return d.String() },
 			FormatWait:     func(d time.Duration) string { return d.String() },
 			ParseLoad:      func([]byte) (sassafrastray.BackendLoad, bool) { return sassafrastray.BackendLoad{}, false },
+			ParseLimit: func(b []byte) (float64, bool) {
+				n, err := strconv.ParseFloat(string(b), 64)
+				return n, err == nil
+			},
 		},
 		Pool:      upstream.New(sassafrastray.SystemClock{}, upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second, MaxIdlePerAddress: 4, IDHeader: "Id"}),
 		Placement: p, Quotas: allowAll{}, Retries: allowAll{}, Rollouts: allowAll{}, Splits: split.New(), Disconnects: disconnect.New(),
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -16,6 +16,7 @@
 	Away      Reason = "away"      // the object is in the share of other regions
 	Detour    Reason = "detour"    // the region that the object is assigned to is too slow or has no usable server
 	Busy      Reason = "busy"      // the request would wait too long at the selected server
+	Limited   Reason = "limited"   // all servers that may take it have had what their limits allow
 	None      Reason = "none"      // no server may take it
 )
 
@@ -184,7 +185,8 @@
 	}
 	switch {
 	case chosen.server == nil && alternative.server == nil:
-		return Choice{Reason: None, RetryAfter: t.nextAvailable(svc, &r, now)}, false
+		wait, reason := t.nextAvailable(svc, &r, now)
+		return Choice{Reason: reason, RetryAfter: wait}, false
 	case chosen.server == nil:
 		chosen, reason = alternative, Detour
 	case alternative.server != nil && alternative.warm && svc.detours >= 1 && r.late(chosen) && !r.late(alternative):
@@ -263,6 +265,7 @@
 func (t *Table) reserve(c candidate, object uint64, reason Reason, now time.Time) Choice {
 	s := c.server
 	s.inflight++
+	t.countLimited(s, now)
 	if s.isCold(now) {
 		gap, _ := t.coldGap(s)
 		s.nextCold = now.Add(gap)
@@ -290,28 +293,33 @@
 		return time.Duration(coldGapFactor * float64(time.Second) / perVM), true
 	}
 	own, ahead := mix(s.hash, xxhash.Sum64String(string(t.opt.Self))), 0
-	for _, vm := range t.fleet {
-		if mix(s.hash, xxhash.Sum64String(string(vm))) > own {
+	for i := range t.fleet {
+		if mix(s.hash, xxhash.Sum64String(string(t.fleet[i].Name))) > own {
 			ahead++
 		}
 	}
 	return time.Duration(coldGapFactor * float64(time.Second)), ahead < max(1, int(bound))
 }
 
-// nextAvailable returns when to retry a request that no server can take now.
-func (t *Table) nextAvailable(svc *service, r *Request, now time.Time) time.Duration {
-	wait := noServerRetryAfter
+// nextAvailable returns when to retry a request that no server can take now, and whether
+// that is because of the servers' limits.
+func (t *Table) nextAvailable(svc *service, r *Request, now time.Time) (time.Duration, Reason) {
+	wait, reason := noServerRetryAfter, None
 	for region, list := range svc.servers {
 		if !allowed(r.Regions, region) {
 			continue
 		}
 		for _, s := range list {
 			if !s.Leaving && !s.evacuated && svc.allowsVersion(s, r) {
-				wait = min(wait, max(minRetryAfter, later(s.blockedUntil, s.nextCold).Sub(now)))
+				next := later(s.blockedUntil, s.nextCold)
+				if s.isLimited(now) {
+					next, reason = later(next, s.limit.next), Limited
+				}
+				wait = min(wait, max(minRetryAfter, next.Sub(now)))
 			}
 		}
 	}
-	return t.retryAfter(wait)
+	return t.retryAfter(wait), reason
 }
 
 // Done ends a request that Pick counted at a server. took is the time from the
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -66,14 +66,17 @@
 		services    map[sassafrastray.ServiceName]*service
 		servers     map[sassafrastray.BackendName]*server
 		distances   map[sassafrastray.RegionName]time.Duration
-		fleet       []sassafrastray.VMName
+		fleet       []sassafrastray.VM
 		regionPeers int
 		firstSeen   time.Time
 		events      []Event
+		// limited holds the servers whose answers to this VM named or ended a limit
+		// lately.
+		limited map[*server]bool
 	}
 
 	// Event reports that a server was blocked because of how requests ended
-	// there, or that it is used again.
+	// there, that it is used again, or that its limit changed.
 	Event struct {
 		Server  sassafrastray.BackendName
 		Service sassafrastray.ServiceName
@@ -82,6 +85,10 @@
 		// BlockedFor is how long the server gets no requests. Zero means
 		// that it is used again.
 		BlockedFor time.Duration
+		// Limit is the limit, in requests per second, that the server named for the
+		// first time or changed. LimitEnded is set if it names none any more.
+		Limit      float64
+		LimitEnded bool
 	}
 )
 
@@ -92,6 +99,7 @@
 		services:  make(map[sassafrastray.ServiceName]*service),
 		servers:   make(map[sassafrastray.BackendName]*server),
 		distances: make(map[sassafrastray.RegionName]time.Duration),
+		limited:   make(map[*server]bool),
 	}
 }
 
@@ -103,8 +111,9 @@
 	}
 }
 
-// SetFleet sets the other VMs that share the bounds on cold servers.
-func (t *Table) SetFleet(others []sassafrastray.VMName) { t.fleet = others }
+// SetFleet sets the other VMs that share the bounds on cold servers and the limits that
+// servers name.
+func (t *Table) SetFleet(others []sassafrastray.VM) { t.fleet = others }
 
 // SetRegionPeers sets how many other VMs of the region send requests to the
 // same servers.
--- a/internal/traffic/placement/placement_test.go
+++ b/internal/traffic/placement/placement_test.go
@@ -199,10 +199,10 @@
 		for i := range fleet {
 			table := newTable("north", uint64(i))
 			table.opt.Self = sassafrastray.VMName(fmt.Sprint("vm-", i))
-			var others []sassafrastray.VMName
+			var others []sassafrastray.VM
 			for j := range fleet {
 				if j != i {
-					others = append(others, sassafrastray.VMName(fmt.Sprint("vm-", j)))
+					others = append(others, sassafrastray.VM{Name: sassafrastray.VMName(fmt.Sprint("vm-", j))})
 				}
 			}
 			table.SetFleet(others)
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -85,6 +85,11 @@
 		othersLoad int
 		reportedAt time.Time
 
+		// limit is the rate that the server says it takes, or nil.
+		limit *limit
+		// answeredAt is when an answer to this VM last named a limit or ended it.
+		answeredAt time.Time
+
 		// failureRate is the moving average of failures, and slowness the
 		// moving average of the ratio of measured to expected time.
 		// Both have decayed up to decayedAt.
@@ -162,7 +167,7 @@
 	if s.Leaving || s.evacuated {
 		return false
 	}
-	if now.Before(s.blockedUntil) || s.trial {
+	if now.Before(s.blockedUntil) || s.trial || s.isLimited(now) {
 		return false
 	}
 	return !s.isCold(now) || !now.Before(s.nextCold)
