Split the rate limiter by shares and buckets

A constant that was 1 is gone, a VM that does not know the fleet refuses by a condition of its own and not by a long wait, and admits nothing for 3 s at most, 7 s before.

--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -10,21 +10,19 @@
 // and still serving; a VM that is cut off limits itself to an even share. A VM
 // uses a larger share only after the others have had time to receive the demand
 // it is based on. VMs to which no callers are sent keep at most an even part of
-// the evenly divided rate. While a team uses little of its quota, each VM admits
-// a few requests beyond its share.
+// the evenly divided rate.
 //
 // A team's quota in any window is its rate times the window plus its burst. Each VM
 // keeps a token bucket for its share of it. A bucket is empty when the VM starts, and a
 // larger share adds no tokens: both are earned by time. So what all VMs admit in a
 // window is bounded by the sum of their shares, whatever VMs have forgotten and however
-// often they restart. While a team uses little of its quota, a VM may admit a few
-// requests before it has the tokens for them.
+// often they restart. Only while a team uses little of its quota may a VM admit a few
+// requests before it has the tokens for them, and a larger share adds tokens.
 //
 // The package does no I/O. Callers must serialize all calls.
 package ratelimit
 
 import (
-	"math"
 	"time"
 
 	"sassafrastray"
@@ -73,11 +71,9 @@
 
 	// reserveFraction is the fraction of the most requests that a team may have
 	// within a window that no VM uses. It covers shares that overlap while they
-	// change. refillFraction is the fraction of Options.Overshoot by which the
-	// buckets refill faster than the team's rate, and minBurstFraction the least
-	// fraction that is their capacity.
+	// change. minBurstFraction is the least fraction that is the capacity of the
+	// buckets.
 	reserveFraction  = 0.05
-	refillFraction   = 1.0
 	minBurstFraction = 0.08
 
 	// While all VMs together have admitted less than lightUseFraction of what a team
@@ -91,9 +87,9 @@
 	// newPeriod is how long after its start a VM's demand is not known.
 	newPeriod = 1200 * time.Millisecond
 
-	// startupPeriod is how long after its start a VM assumes a fleet of at least
-	// Options.FleetSize VMs, if it can't learn how many there are.
-	startupPeriod = 7 * time.Second
+	// startupPeriod is how long after its start a VM that can't learn how many VMs
+	// there are admits nothing. Later it assumes at least Options.FleetSize.
+	startupPeriod = 3 * time.Second
 
 	// maxDelay bounds how long an admitted request waits for its token.
 	// maxStartDelay is that bound while the bucket of a team within its rate has been
@@ -101,8 +97,8 @@
 	maxDelay      = 250 * time.Millisecond
 	maxStartDelay = time.Second
 
-	// unknownWait is the wait of a request while the VM does not know how many VMs
-	// share the quota.
+	// unknownWait is the time after which to retry a request that was refused because
+	// the VM does not know yet how many VMs share the quota.
 	unknownWait = 300 * time.Millisecond
 
 	// minRetryWait and maxRetryWait bound the time after which a refused
@@ -114,8 +110,8 @@
 type (
 	// Options configures a Limiter.
 	Options struct {
-		// FleetSize is the number of VMs that a starting VM assumes until it
-		// knows as many.
+		// FleetSize is the least number of VMs that a VM assumes if it can't learn
+		// how many there are.
 		FleetSize int
 		// Window is the period over which a team's requests are bounded.
 		Window time.Duration
@@ -295,27 +291,6 @@
 	}
 }
 
-// SetFleetKnown tells that SetPeerSize was called for all VMs of the fleet, whether or
-// not they have been heard from.
-func (l *Limiter) SetFleetKnown(now time.Time) {
-	if l.fleetKnown {
-		return
-	}
-	l.fleetKnown = true
-	for name, t := range l.teams {
-		l.computeShare(t, name, now)
-	}
-}
-
-// IsNew reports whether the VM started so recently that its demand is not known. It uses
-// an even share then, which the other VMs leave it.
-func (l *Limiter) IsNew(now time.Time) bool {
-	if l.startedAt.IsZero() {
-		l.startedAt = now
-	}
-	return now.Sub(l.startedAt) < newPeriod
-}
-
 // SetIdle sets whether this VM is idle: no callers are sent to it.
 func (l *Limiter) SetIdle(idle bool) { l.idle = idle }
 
@@ -342,7 +317,7 @@
 		l.heartbeatDue = true
 	}
 	v.Wait = l.wait(t, now)
-	if v.Wait <= t.maxDelay(now, l.opt.Window) {
+	if t.refill > 0 && v.Wait <= t.maxDelay(now, l.opt.Window) {
 		t.tokens--
 		t.admitted = append(t.admitted, now.Add(v.Wait))
 		v.OK, v.Delay, v.Wait = true, v.Wait, 0
@@ -352,45 +327,6 @@
 	return v
 }
 
-// wait returns how long a request has to wait until it may be admitted.
-func (l *Limiter) wait(t *team, now time.Time) time.Duration {
-	missing := 1 - t.tokens
-	if missing <= 0 || t.inLightUse(now, l.opt.Window) && missing <= lightBurst-t.capacity {
-		return 0
-	}
-	if t.refill <= 0 {
-		return unknownWait
-	}
-	return min(math.MaxInt32*time.Millisecond, time.Duration(missing/t.refill*float64(time.Second)))
-}
-
-// inLightUse reports whether the team uses little of its quota, and this VM less than
-// its share. In the first window after the bucket was emptied that is not known.
-func (t *team) inLightUse(now time.Time, window time.Duration) bool {
-	used := float64(len(t.admitted))
-	return now.Sub(t.emptyAt) >= window && used+1 <= max(1, t.lightBudget) && used+float64(t.othersAdmitted) < t.lightUseLimit
-}
-
-// maxDelay returns how long an admitted request may wait. The requests of a team above
-// its rate don't wait: each of them would, and none would be served sooner.
-func (t *team) maxDelay(now time.Time, window time.Duration) time.Duration {
-	switch {
-	case t.slowRate > t.refill:
-		return 0
-	case now.Sub(t.emptyAt) < window:
-		return maxStartDelay
-	}
-	return maxDelay
-}
-
-// refillTo adds the tokens of the time until now.
-func (t *team) refillTo(now time.Time) {
-	if d := now.Sub(t.refilledAt); d > 0 {
-		t.tokens = min(t.capacity, t.tokens+t.refill*d.Seconds())
-		t.refilledAt = now
-	}
-}
-
 // NeedsHeartbeat reports whether a heartbeat should be sent at once: a team nears
 // its budget or was refused, and the other VMs don't know its demand yet.
 func (l *Limiter) NeedsHeartbeat() bool { return l.heartbeatDue }
@@ -403,134 +339,3 @@
 		t.tokens = min(t.capacity, t.tokens+1)
 	}
 }
-
-// computeShare computes the VM's share of the team's quota.
-func (l *Limiter) computeShare(t *team, name sassafrastray.TeamName, now time.Time) {
-	t.shareComputedAt = now
-	t.refillTo(now)
-	maxAdmitted := (1+l.opt.Overshoot)*(t.rate*l.opt.Window.Seconds()+t.burst) + float64(l.opt.OvershootRequests)
-	refill := min((1+refillFraction*l.opt.Overshoot)*t.rate, (1-reserveFraction-minBurstFraction)*maxAdmitted/l.opt.Window.Seconds())
-	f := l.fleet(name, now)
-	ownDemand := min(t.demand(), l.confirmedUsage(now)[name].Demand)
-	switch {
-	case f.vms == 0:
-		t.share = 0
-	case f.heard == 0:
-		t.share = 1 / float64(f.vms)
-	default:
-		share := evenFraction / float64(f.heard)
-		if assumed := assumedDemand; !l.idle || ownDemand > 0 {
-			if l.idle {
-				assumed = 0
-			}
-			share += (1 - evenFraction) * (ownDemand + assumed) / (f.demand + ownDemand + assumedDemand*float64(max(1, f.active)))
-		}
-		t.share = share * float64(f.heard) / float64(f.vms)
-	}
-	t.othersAdmitted, t.demandAge = f.admitted, f.age
-	t.lightUseLimit = lightUseFraction * maxAdmitted
-	if f.vms > 0 {
-		t.lightUseLimit *= float64(f.heard) / float64(f.vms)
-	}
-	capacity := t.capacity
-	t.lightBudget = lightBudgetFactor * t.share * maxAdmitted
-	t.refill = t.share * refill
-	t.capacity = max(1, t.share*((1-reserveFraction)*maxAdmitted-refill*l.opt.Window.Seconds()))
-	if t.tokens > 0 && capacity > 0 && (t.capacity < capacity || t.inLightUse(now, l.opt.Window)) {
-		t.tokens *= t.capacity / capacity
-	}
-	t.tokens = min(t.tokens, t.capacity)
-}
-
-// fleet returns what is known of the VMs that share the team's quota. Its vms are zero
-// while this VM doesn't know how many there are.
-func (l *Limiter) fleet(name sassafrastray.TeamName, now time.Time) (f fleet) {
-	isNew := l.IsNew(now)
-	if l.reportedNew && !isNew {
-		l.heartbeatDue = true
-	}
-	f.vms = 1
-	for from, p := range l.peers {
-		known := max(p.VMs, p.knownVMs)
-		switch age := now.Sub(p.heardAt); {
-		case age <= peerTimeout:
-			u := p.Uses[name]
-			f.demand += u.Demand
-			f.admitted += u.Admitted
-			f.heard += p.VMs - p.New
-			f.active += max(0, p.VMs-p.New-p.Idle)
-			f.age = max(f.age, age)
-		case age > peerExpiry && !p.heardAt.IsZero():
-			delete(l.peers, from)
-			continue
-		}
-		f.vms += known
-	}
-	switch {
-	case l.fleetKnown:
-	case now.Sub(l.startedAt) < startupPeriod:
-		f.vms = 0
-	default:
-		f.vms = max(f.vms, l.opt.FleetSize)
-	}
-	if isNew {
-		f.heard = 0
-		return f
-	}
-	f.heard++
-	if !l.idle {
-		f.active++
-	}
-	return f
-}
-
-// confirmedUsage returns the newest usage that was reported before the last
-// heartbeat of another VM: the others reduce their shares only once they have
-// received it. A VM that is cut off from all others uses its last report.
-func (l *Limiter) confirmedUsage(now time.Time) TeamUsage {
-	var since time.Time
-	for _, p := range l.peers {
-		if now.Sub(p.heardAt) <= peerTimeout && p.heardAt.After(since) {
-			since = p.heardAt
-		}
-	}
-	if since.IsZero() {
-		return l.reported
-	}
-	n := 0
-	for n+1 < len(l.reports) && !l.reports[n+1].at.After(since) {
-		n++
-	}
-	l.reports = l.reports[n:]
-	if len(l.reports) == 0 {
-		return TeamUsage{}
-	}
-	return l.reports[0].usage
-}
-
-// dropExpired removes the requests that have left the window.
-func (t *team) dropExpired(now time.Time, window time.Duration) {
-	n := 0
-	for n < len(t.admitted) && now.Sub(t.admitted[n]) >= window {
-		n++
-	}
-	t.admitted = append(t.admitted[:0], t.admitted[n:]...)
-}
-
-// decay brings the moving averages up to now.
-func (t *team) decay(now time.Time) {
-	if d := now.Sub(t.countedAt); d > 0 {
-		t.fastRate *= math.Exp(-float64(d) / float64(riseTimeConstant))
-		t.slowRate *= math.Exp(-float64(d) / float64(fallTimeConstant))
-		t.countedAt = now
-	}
-}
-
-// demand returns the requests per second that the team sends to the VM: the slow
-// average, or the fast one less its random variation if that is higher.
-func (t *team) demand() float64 {
-	n := t.fastRate * riseTimeConstant.Seconds()
-	age := t.countedAt.Sub(t.countedFrom)
-	slow := t.slowRate / (1 - math.Exp(-float64(max(age, riseTimeConstant))/float64(fallTimeConstant)))
-	return max(slow, (n-riseDeviations*math.Sqrt(n))/riseTimeConstant.Seconds())
-}
