--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -98,6 +98,10 @@
 		return status + fmt.Sprintf("team %s had used the VM's part of its rate, %.2f of the whole, which rests on demands up to %v old; the caller was told to come back after %v.",
 			l.text("team"), l.float("share"), l.duration("demands").Round(time.Millisecond), l.duration("wait").Round(time.Millisecond))
 	case "busy":
+		if detail == "limited" {
+			return status + fmt.Sprintf("every backend server of %s that could have taken the request had had as many as the limit that it names allows this VM; the caller was told to come back after %v.",
+				l.text("service"), l.duration("wait").Round(time.Millisecond))
+		}
 		return status + fmt.Sprintf("every backend server of %s that could have taken the request had a longer queue than it may wait in (%.1f requests at the best of %d, %s, by a report %v old); the caller was told to come back after %v.",
 			l.text("service"), l.float("load"), l.number("weighed"), backend,
 			l.duration("report").Round(time.Millisecond), l.duration("wait").Round(time.Millisecond))
--- a/internal/operator/trace/trace_test.go
+++ b/internal/operator/trace/trace_test.go
@@ -39,7 +39,8 @@
 // TestText compares the text form of each log file's explanation with its golden
 // file: a request refused by its quota while other VMs are silent; a failed try at
 // a version whose leader's clock is ten seconds ahead; a server that was gone while
-// the store was unreachable; a VM that died; and a request that passed two VMs.
+// the store was unreachable; a VM that died; a request that
+// passed two VMs; and one that no server's limit allowed.
 func TestText(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.log")
 	if err != nil || len(files) < 5 {
