Read the registered VMs again soon after a failure

A VM admits nothing for teams until it knows how many VMs share their quotas. If the first read of the registered VMs failed, the next one came after ten seconds, and a VM that agreed with no other about the fleet refused all requests of teams for three.

The read is repeated after a second, with a log line that was missing, and the first read no longer happens twice.

--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -54,6 +54,7 @@
 	heartbeatQuiet = 700 * time.Millisecond
 
 	vmListInterval = 10 * time.Second
+	vmListRetry    = time.Second
 	sweepInterval  = 5 * time.Second
 
 	// dialTimeout leaves time to retransmit one lost packet between regions.
--- a/internal/fleet/edge/message_test.go
+++ b/internal/fleet/edge/message_test.go
@@ -22,6 +22,22 @@
 // newQuietVM returns a VM that has a configuration, runs no goroutines of its own and
 // calls no one.
 func newQuietVM(t testing.TB) *VM {
+	t.Helper()
+	v := newStartedVM(t)
+	// The bucket of the team is empty at the start.
+	v.quotas.setFleetKnown()
+	advance(v, 2*time.Second)
+	return v
+}
+
+// advance moves the VM's clock.
+func advance(v *VM, d time.Duration) {
+	clock := v.clock.(*manualClock)
+	clock.now = clock.now.Add(d)
+}
+
+// newStartedVM returns a VM that does not know yet how many VMs there are.
+func newStartedVM(t testing.TB) *VM {
 	t.Helper()
 	list, regions := newFleet(1)
 	list[0].Cores, list[0].CallerAddress = 1, netip.MustParseAddrPort("10.0.0.1:81")
@@ -51,10 +67,6 @@
 		b.Revision, b.Complete = 3, true
 		v.applyBatch(b, v.clock.Now())
 	}
-	// The bucket of the team is empty at the start.
-	v.quotas.setFleetKnown()
-	clock := v.clock.(*manualClock)
-	clock.now = clock.now.Add(2 * time.Second)
 	return v
 }
 
--- a/internal/fleet/edge/serve.go
+++ b/internal/fleet/edge/serve.go
@@ -59,6 +59,8 @@
 	stopDisconnects := make(chan struct{})
 	go v.disconnects.Run(stopDisconnects)
 	v.loops.Add(2 + len(replica.Topics))
+	// The first read tells how many VMs share the quotas.
+	v.isDue("list", vmListInterval, v.clock.Now())
 	v.readVMs()
 	go v.control()
 	go v.register()
--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -343,6 +343,10 @@
 		b, err := v.store.Read(ctx, sassafrastray.TopicVMs, true)
 		v.metrics.store.WithLabelValues(string(sassafrastray.TopicVMs), sassafrastray.Outcome(err)).Inc()
 		if err != nil {
+			v.post(func(now time.Time) {
+				v.log.Warn("the registered VMs could not be read", "error", err.Error())
+				v.nextDue["list"] = now.Add(vmListRetry)
+			})
 			return
 		}
 		v.post(func(now time.Time) {
