Start the servers of ingress tests in one place

newBackend and newLimitedBackend opened a listener and echoed the ID each in their own words. No check changed; go test ./internal/traffic/ingress passes.

--- a/internal/traffic/ingress/limit_test.go
+++ b/internal/traffic/ingress/limit_test.go
@@ -25,24 +25,15 @@
 }
 
 func newLimitedBackend(t *testing.T, limit string) *limitedBackend {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	b := &limitedBackend{address: netip.MustParseAddrPort(ln.Addr().String())}
-	go func() {
-		_ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
-			b.mu.Lock()
-			b.arrivals = append(b.arrivals, time.Now())
-			b.mu.Unlock()
-			ctx.Response.Header.Set("Id", string(ctx.Request.Header.Peek("Id")))
-			if limit != "" {
-				ctx.Response.Header.Set("Server-Limit", limit)
-			}
-			ctx.SetBodyString("done")
-		})
-	}()
+	b := &limitedBackend{}
+	b.address = serveRequests(t, func(ctx *fasthttp.RequestCtx) {
+		b.mu.Lock()
+		b.arrivals = append(b.arrivals, time.Now())
+		b.mu.Unlock()
+		if limit != "" {
+			ctx.Response.Header.Set("Server-Limit", limit)
+		}
+	})
 	return b
 }
 
--- a/internal/traffic/ingress/serve_test.go
+++ b/internal/traffic/ingress/serve_test.go
@@ -95,27 +95,36 @@
 }
 
 func newBackend(t *testing.T, delay time.Duration, status int) *backend {
+	b := &backend{}
+	b.address = serveRequests(t, func(ctx *fasthttp.RequestCtx) {
+		b.mu.Lock()
+		b.ran++
+		b.mu.Unlock()
+		time.Sleep(delay)
+		if status == fasthttp.StatusServiceUnavailable {
+			ctx.Response.Header.Set("Shed", "1")
+		}
+		ctx.SetStatusCode(status)
+	})
+	return b
+}
+
+// serveRequests runs a backend server until the end of the test. It calls handle for each
+// request, echoes the request's ID and responds with a short body.
+func serveRequests(t *testing.T, handle fasthttp.RequestHandler) netip.AddrPort {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	b := &backend{address: netip.MustParseAddrPort(ln.Addr().String())}
 	go func() {
 		_ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
-			b.mu.Lock()
-			b.ran++
-			b.mu.Unlock()
-			time.Sleep(delay)
 			ctx.Response.Header.Set("Id", string(ctx.Request.Header.Peek("Id")))
-			if status == fasthttp.StatusServiceUnavailable {
-				ctx.Response.Header.Set("Shed", "1")
-			}
-			ctx.SetStatusCode(status)
 			ctx.SetBodyString("done")
+			handle(ctx)
 		})
 	}()
-	return b
+	return netip.MustParseAddrPort(ln.Addr().String())
 }
 
 // newHandler returns a Handler with an idempotent route and one that is not, whose
