Log the size of forwarded changes of the store, and encode them once

Callers' requests reached leaving backend servers late. Whether forwarded changes fill a VM's link could not be told from its log: it had the failed calls, not how large the messages were, and nothing of calls that ended well. Each change was also encoded anew for each VM of the failure domain.

--- a/internal/fleet/edge/updates.go
+++ b/internal/fleet/edge/updates.go
@@ -58,9 +58,16 @@
 	}
 	b.After, b.SinceOutage = latest, v.replica.SinceRecovery(b.Topic, now)
 	u := &gossip.Update{From: v.self, Batch: b}
-	for _, m := range v.members.LiveInDomain(now) {
+	body, err := u.Encode()
+	if err != nil {
+		v.log.Error("a store change can't be forwarded", "topic", b.Topic, "revision", b.Revision, "error", err.Error())
+		return
+	}
+	peers := v.members.LiveInDomain(now)
+	v.log.Info("forwarding a store change", "topic", b.Topic, "revision", b.Revision, "complete", b.Complete, "entries", len(b.Entries), "bytes", len(body), "peers", len(peers))
+	for _, m := range peers {
 		v.spawn(func() {
-			if err := v.client.Update(m.VM.PeerAddress, u, updateTimeout); err != nil {
+			if err := v.client.Update(m.VM.PeerAddress, body, updateTimeout); err != nil {
 				v.log.Info("forwarding a store change failed", "peer", m.VM.Name, "topic", b.Topic, "revision", b.Revision, "error", err.Error())
 			}
 		})
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -165,12 +165,14 @@
 	return batches, errors.Wrap(err, "copy")
 }
 
-// Update forwards a change of the store.
-func (c *Client) Update(to netip.AddrPort, u *Update, timeout time.Duration) error {
-	body, err := json.Marshal(u)
-	if err != nil {
-		return errors.Wrap(err, "news")
-	}
+// Encode returns the update as it is sent.
+func (u *Update) Encode() ([]byte, error) {
+	b, err := json.Marshal(u)
+	return b, errors.Wrap(err, "news")
+}
+
+// Update forwards an encoded change of the store.
+func (c *Client) Update(to netip.AddrPort, body []byte, timeout time.Duration) error {
 	var ok bool
 	return errors.Wrap(c.call(to, UpdatePath, body, &ok, timeout), "news")
 }
