Move the compression of messages to a package of its own

Callers' requests wait behind forwarded changes of the store, which are not compressed, while heartbeats of serve are. So that both can use it, the code moves from package peer to package deflate; it behaves as before.

Measured: go build ./... and go test ./internal/fleet/peer ./internal/fleet/vm -run 'Encode|Messages|Compress|Relay' pass.

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/fleet/deflate"
 	"sassafrastray/internal/limit/quota"
 	"sassafrastray/internal/operator/config"
 	"sassafrastray/internal/traffic/upstream"
@@ -101,7 +102,7 @@
 	}
 	m.body, m.compressed = body, m.compressed && len(body) > minCompressSize
 	if m.compressed {
-		m.body = compress(body)
+		m.body = deflate.Compress(body)
 	}
 	answer, err := c.roundTrip(to, m, timeout)
 	if err != nil {
@@ -126,7 +127,7 @@
 		req.SetBodyRaw(m.body)
 	}
 	if m.compressed {
-		req.Header.SetContentEncoding(compressedEncoding)
+		req.Header.SetContentEncoding(deflate.Encoding)
 	}
 	x := c.pool.Start(upstream.Call{Address: to.PeerAddress, Deadline: c.clock.Now().Add(timeout), ProgressTimeout: progressTimeout})
 	if out := x.Do(req, resp); out.Failure != upstream.None {
@@ -136,8 +137,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if string(resp.Header.ContentEncoding()) == compressedEncoding {
-		if answer, err = decompress(answer); err != nil {
+	if string(resp.Header.ContentEncoding()) == deflate.Encoding {
+		if answer, err = deflate.Decompress(answer, maxMessageSize); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/fleet/deflate"
 	"sassafrastray/internal/fleet/listener"
 	"sassafrastray/internal/limit/quota"
 	"sassafrastray/internal/operator/config"
@@ -77,8 +78,8 @@
 	}
 	reply(ctx, s.handler.HandleHeartbeat(&h))
 	if b := ctx.Response.Body(); h.Relay != nil && len(b) > minCompressSize {
-		ctx.SetBody(compress(b))
-		ctx.Response.Header.SetContentEncoding(compressedEncoding)
+		ctx.SetBody(deflate.Compress(b))
+		ctx.Response.Header.SetContentEncoding(deflate.Encoding)
 	}
 }
 
@@ -106,8 +107,8 @@
 // and returns false.
 func decode(ctx *fasthttp.RequestCtx, v any) bool {
 	body, err := listener.ReadBody(ctx, maxMessageSize)
-	if err == nil && string(ctx.Request.Header.ContentEncoding()) == compressedEncoding {
-		body, err = decompress(body)
+	if err == nil && string(ctx.Request.Header.ContentEncoding()) == deflate.Encoding {
+		body, err = deflate.Decompress(body, maxMessageSize)
 	}
 	if err == nil {
 		err = json.Unmarshal(body, v)
