Forward changes of the store without filling the network link

Cause: in a fleet of 25 VMs and more each watcher of a failure domain sends every change of the store to all other VMs of the domain: a configuration as a whole, three of them if three came at once, and all servers after it read the topic again. On 76 VMs that was 410 kB to 11 MB at once, 3 to 9 s of a link of 10 Mbit/s. The answers of the store, the connections to servers and the bytes of requests waited behind it, and nearly all of the calls timed out, so the bytes were sent for nothing.

A choice that is not checked again before the send is a fault of its own and adds less than the 1.3 s that were seen.

Change: updates and copies of the store are compressed; of several changes of an entry the last is forwarded, and of a topic that was read again what differs, marked with the revisions that the receiver must have; a topic's first read is not forwarded; an update that would take more than 250 kB goes to a few VMs which forward it as it came; the largest VMs of a domain watch the store; a VM that lacks a change asks any of those that have it. A removal that only a new read showed counts as a change by which others see that they lack it: before, such an update that was lost stayed lost.

It now asks the watcher that is ahead for a copy, as VMs do, and not always the first one.

Conclusion: what one change costs a VM no longer grows with its domain.

--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -167,10 +167,10 @@
 // VMs.
 func (v *VM) applyBatch(b sassafrastray.Batch, now time.Time) {
 	outage := v.replica.FailingFor(now)
-	latest := v.replica.Latest()[b.Topic]
+	difference, first := v.replica.Difference(b), !v.replica.Loaded(b.Topic)
 	c := v.replica.Apply(b, now)
 	v.recordEra(b.Position(), b.Topic)
-	v.forwardUpdate(b, c, latest, now)
+	v.forwardUpdate(difference, c, first, now)
 	v.applyChange(c, now)
 	if outage > 0 && v.replica.FailingFor(now) == 0 {
 		v.log.Info(message.StoreReachable, "after", outage)
@@ -298,18 +298,25 @@
 	v.copyFrom(*from, v.heartbeats[from.Name].Era)
 }
 
-// mostAdvancedPeer returns the VM whose replica is ahead of this one's by the most
-// revisions, or nil if none is ahead.
+// mostAdvancedPeer returns a VM whose replica is ahead of this one's by the most
+// revisions, or nil if none is ahead. Of several it returns any one, so that VMs which
+// lack the same change don't all ask the same one.
 func (v *VM) mostAdvancedPeer(now time.Time) *sassafrastray.VM {
 	var best *sassafrastray.VM
-	most := int64(0)
+	most, equal := int64(0), 0
 	for _, m := range v.members.View(now) {
 		h := v.heartbeats[m.VM.Name]
 		if h == nil || m.Suspect {
 			continue
 		}
-		if n := v.replica.RevisionsBehind(h.Era, h.Latest); n > most {
-			best, most = &m.VM, n
+		n := v.replica.RevisionsBehind(h.Era, h.Latest)
+		switch {
+		case n > most:
+			best, most, equal = &m.VM, n, 1
+		case n == most && best != nil:
+			if equal++; v.rng.IntN(equal) == 0 {
+				best = &m.VM
+			}
 		}
 	}
 	return best
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -5,8 +5,10 @@
 package gossip
 
 import (
+	"bytes"
 	"io"
 	"net/netip"
+	"net/url"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -15,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sassafrastray"
+	"sassafrastray/internal/fleet/deflate"
 	"sassafrastray/internal/fleet/listener"
 	"sassafrastray/internal/fleet/member"
 	"sassafrastray/internal/fleet/replica"
@@ -39,6 +42,14 @@
 
 	// progressTimeout bounds each wait for a part of a message.
 	progressTimeout = time.Second
+
+	// minCompressSize is the size in bytes above which parts of the store are
+	// compressed.
+	minCompressSize = 1 << 10
+
+	// relayParameter names, in the query of an update, a VM that the receiver
+	// forwards it to.
+	relayParameter = "to"
 )
 
 type (
@@ -87,6 +98,12 @@
 		Batch sassafrastray.Batch `json:"batch"`
 	}
 
+	// Relay is an encoded Update and the VMs that its receiver forwards it to.
+	Relay struct {
+		Body []byte
+		To   []sassafrastray.VMName
+	}
+
 	// Summary adds up the figures of the VMs of one region.
 	Summary struct {
 		Region sassafrastray.RegionName `json:"region"`
@@ -101,8 +118,9 @@
 		// Copy returns the topics of the VM's replica that have changes later than
 		// the held revisions.
 		Copy(held map[sassafrastray.Topic]int64) []sassafrastray.Batch
-		// Update processes a change of the store that another VM forwards.
-		Update(u *Update)
+		// Update processes a change of the store that another VM forwards, and forwards
+		// it as it came.
+		Update(u *Update, r Relay)
 		// Memory returns what the VM knows and a copy of the store may lack. Config is
 		// the number of the configuration that the other VM has.
 		Memory(config int64) replica.Memory
@@ -144,7 +162,7 @@
 		return nil, errors.Wrap(err, "heartbeat")
 	}
 	var answer Heartbeat
-	if err := c.call(to, HeartbeatPath, body, &answer, timeout); err != nil {
+	if err := c.call(to, HeartbeatPath, body, "", &answer, timeout); err != nil {
 		return nil, errors.Wrap(err, "heartbeat")
 	}
 	return &answer, nil
@@ -158,7 +176,7 @@
 		return nil, errors.Wrap(err, "copy")
 	}
 	var batches []sassafrastray.Batch
-	err = c.call(to, CopyPath, body, &batches, timeout)
+	err = c.call(to, CopyPath, body, "", &batches, timeout)
 	for i := range batches {
 		batches[i].MarkUnusable()
 	}
@@ -168,13 +186,21 @@
 // Encode returns the update as it is sent.
 func (u *Update) Encode() ([]byte, error) {
 	b, err := json.Marshal(u)
-	return b, errors.Wrap(err, "news")
+	return deflate.Compress(b), errors.Wrap(err, "news")
 }
 
-// Update forwards an encoded change of the store.
-func (c *Client) Update(to netip.AddrPort, body []byte, timeout time.Duration) error {
+// Update forwards a change of the store.
+func (c *Client) Update(to netip.AddrPort, r Relay, timeout time.Duration) error {
+	q := make(url.Values)
+	for _, name := range r.To {
+		q.Add(relayParameter, string(name))
+	}
+	path := UpdatePath
+	if len(q) > 0 {
+		path += "?" + q.Encode()
+	}
 	var ok bool
-	return errors.Wrap(c.call(to, UpdatePath, body, &ok, timeout), "news")
+	return errors.Wrap(c.call(to, path, r.Body, deflate.Encoding, &ok, timeout), "news")
 }
 
 // Memory returns what the other VM knows and a copy of the store may lack. Config is the
@@ -185,19 +211,25 @@
 		return replica.Memory{}, errors.Wrap(err, "memory")
 	}
 	var m replica.Memory
-	if err := c.call(to, MemoryPath, body, &m, timeout); err != nil {
+	if err := c.call(to, MemoryPath, body, "", &m, timeout); err != nil {
 		return replica.Memory{}, errors.Wrap(err, "memory")
 	}
 	return m, errors.Wrap(m.Validate(), "memory")
 }
 
-func (c *Client) call(to netip.AddrPort, path string, body []byte, v any, timeout time.Duration) error {
+// call sends a message in the encoding, or in none if that is empty, and decodes the
+// answer into v.
+func (c *Client) call(to netip.AddrPort, path string, body []byte, encoding string, v any, timeout time.Duration) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(path)
 	req.Header.SetHost(to.String())
 	req.Header.Set(upstream.IDHeader, upstream.NewID())
+	req.Header.Set(fasthttp.HeaderAcceptEncoding, deflate.Encoding)
+	if encoding != "" {
+		req.Header.SetContentEncoding(encoding)
+	}
 	if body != nil {
 		req.Header.SetMethod(fasthttp.MethodPost)
 		req.SetBodyRaw(body)
@@ -207,6 +239,9 @@
 		return errors.Newf("%s: %v", out.Failure, out.Err)
 	}
 	b, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxMessageSize))
+	if err == nil && string(resp.Header.ContentEncoding()) == deflate.Encoding {
+		b, err = deflate.Decompress(b, maxMessageSize)
+	}
 	if err != nil {
 		return errors.Wrap(err, "read answer")
 	}
@@ -222,42 +257,66 @@
 	switch string(ctx.Path()) {
 	case HeartbeatPath:
 		var h Heartbeat
-		if decode(ctx, "heartbeat", &h) {
+		if _, ok := decode(ctx, "heartbeat", &h); ok {
 			reply(ctx, handler.Heartbeat(&h))
 		}
 	case CopyPath:
 		var held map[sassafrastray.Topic]int64
-		if decode(ctx, "copy", &held) {
+		if _, ok := decode(ctx, "copy", &held); ok {
 			reply(ctx, handler.Copy(held))
+			compress(ctx)
 		}
 	case UpdatePath:
 		var u Update
-		if decode(ctx, "news", &u) {
+		if body, ok := decode(ctx, "news", &u); ok {
 			u.Batch.MarkUnusable()
-			handler.Update(&u)
+			handler.Update(&u, relay(ctx, body))
 			reply(ctx, true)
 		}
 	case MemoryPath:
 		var config int64
-		if decode(ctx, "memory", &config) {
+		if _, ok := decode(ctx, "memory", &config); ok {
 			reply(ctx, handler.Memory(config))
+			compress(ctx)
 		}
 	default:
 		ctx.Error("unknown path", fasthttp.StatusNotFound)
 	}
 }
 
-// decode decodes a message. If it fails it answers with an error and returns false.
-func decode(ctx *fasthttp.RequestCtx, what string, v any) bool {
+// relay returns the received update and the VMs that it is forwarded to.
+func relay(ctx *fasthttp.RequestCtx, body []byte) Relay {
+	r := Relay{Body: bytes.Clone(body)}
+	for _, name := range ctx.QueryArgs().PeekMulti(relayParameter) {
+		r.To = append(r.To, sassafrastray.VMName(name))
+	}
+	return r
+}
+
+// decode decodes a message and returns its body as it came. If it fails it answers with
+// an error and returns false.
+func decode(ctx *fasthttp.RequestCtx, what string, v any) (body []byte, ok bool) {
 	body, err := listener.ReadBody(ctx, maxMessageSize)
+	plain := body
+	if err == nil && string(ctx.Request.Header.ContentEncoding()) == deflate.Encoding {
+		plain, err = deflate.Decompress(body, maxMessageSize)
+	}
 	if err == nil {
-		err = json.Unmarshal(body, v)
+		err = json.Unmarshal(plain, v)
 	}
 	if err != nil {
 		ctx.Error(what+": "+err.Error(), fasthttp.StatusBadRequest)
 		ctx.SetConnectionClose()
 	}
-	return err == nil
+	return body, err == nil
+}
+
+// compress compresses a large answer for a VM that accepts that.
+func compress(ctx *fasthttp.RequestCtx) {
+	if b := ctx.Response.Body(); len(b) > minCompressSize && ctx.Request.Header.HasAcceptEncoding(deflate.Encoding) {
+		ctx.SetBody(deflate.Compress(b))
+		ctx.Response.Header.SetContentEncoding(deflate.Encoding)
+	}
 }
 
 func reply(ctx *fasthttp.RequestCtx, v any) {
--- a/internal/fleet/member/relay.go
+++ b/internal/fleet/member/relay.go
@@ -80,7 +80,7 @@
 			live = append(live, e)
 		}
 	}
-	slices.SortFunc(live, func(a, b *entry) int { return cmp.Compare(rank(b.heartbeat.VM.Name), rank(a.heartbeat.VM.Name)) })
+	slices.SortFunc(live, func(a, b *entry) int { return compareRank(b.heartbeat.VM, a.heartbeat.VM) })
 	out := make([]Member, len(live))
 	for i, e := range live {
 		out[i] = Member{Heartbeat: e.heartbeat, Age: now.Sub(e.lastSeen)}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -218,10 +218,10 @@
 
 // RankAmong is Rank among the VMs for which eligible returns true.
 func (t *Table) RankAmong(eligible func(sassafrastray.VMName) bool, now time.Time) int {
-	own, n := rank(t.self.Name), 0
+	n := 0
 	for _, e := range t.entries {
 		vm := e.heartbeat.VM
-		if vm.Domain == t.self.Domain && t.alive(e, now) && rank(vm.Name) > own && eligible(vm.Name) {
+		if vm.Domain == t.self.Domain && t.alive(e, now) && compareRank(vm, t.self) > 0 && eligible(vm.Name) {
 			n++
 		}
 	}
@@ -313,6 +313,10 @@
 	return out
 }
 
-// rank orders the VMs of a domain in the same way on every VM, whatever their
-// naming scheme.
+// compareRank orders the VMs of a domain in the same way on every VM: by their capacity,
+// since the first ones send to the others, and then whatever their naming scheme.
+func compareRank(a, b sassafrastray.VM) int {
+	return cmp.Or(cmp.Compare(a.Cores, b.Cores), cmp.Compare(rank(a.Name), rank(b.Name)))
+}
+
 func rank(n sassafrastray.VMName) uint64 { return xxhash.Sum64String(string(n)) }
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -72,7 +72,10 @@
 		// at is the position in the store's history that the topic reflects.
 		at sassafrastray.Position
 		// latest is the highest revision of an applied entry of the era.
-		latest  int64
+		latest int64
+		// readAt is the revision at which the topic was last read as a whole. Entries
+		// that came and went before it may be unknown.
+		readAt  int64
 		loaded  bool
 		entries map[string]record
 		// missing maps entries that the store lacks to the time until which they are
@@ -136,6 +139,64 @@
 	return sassafrastray.Position{}
 }
 
+// Loaded reports whether the topic was read.
+func (r *Replica) Loaded(t sassafrastray.Topic) bool {
+	s := r.topics[t]
+	return s != nil && s.loaded
+}
+
+// Difference returns a batch as a VM forwards it to others that have the changes before
+// it, which the replica has as well: the last change of each entry, and of a topic that
+// was read again in the same era only what differs from the replica.
+func (r *Replica) Difference(b sassafrastray.Batch) sassafrastray.Batch {
+	t := r.topics[b.Topic]
+	if t == nil {
+		return b
+	}
+	b.After = max(t.latest, t.readAt)
+	if !b.Complete {
+		b.Entries = latestEntries(b.Entries)
+		return b
+	}
+	if !t.loaded || b.Era != t.at.Era {
+		return b
+	}
+	b.Complete, b.Until = false, t.newest()
+	present := make(map[string]bool, len(b.Entries))
+	var changed []sassafrastray.Entry
+	for _, e := range b.Entries {
+		present[e.Name] = true
+		if e.Revision > t.latest {
+			changed = append(changed, e)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.entries)) {
+		if !present[name] && t.missing[name].IsZero() {
+			changed = append(changed, sassafrastray.Entry{Name: name, Revision: b.Revision, Deleted: true})
+		}
+	}
+	b.Entries = changed
+	return b
+}
+
+// latestEntries returns the last entry of each name, in their order.
+func latestEntries(entries []sassafrastray.Entry) []sassafrastray.Entry {
+	last := make(map[string]int, len(entries))
+	for i := range entries {
+		last[entries[i].Name] = i
+	}
+	if len(last) == len(entries) {
+		return entries
+	}
+	out := make([]sassafrastray.Entry, 0, len(last))
+	for i := range entries {
+		if last[entries[i].Name] == i {
+			out = append(out, entries[i])
+		}
+	}
+	return out
+}
+
 // Era returns the earliest era of the topics that were read.
 func (r *Replica) Era() int64 {
 	era, read := int64(0), false
@@ -259,7 +320,7 @@
 func (r *Replica) LimitEra(era int64) {
 	for _, t := range r.topics {
 		if t.at.Era > era {
-			t.at, t.latest = sassafrastray.Position{Era: era}, 0
+			t.at, t.latest, t.readAt = sassafrastray.Position{Era: era}, 0, 0
 		}
 	}
 }
@@ -276,27 +337,31 @@
 }
 
 // HasChangesBefore reports whether the replica has all changes before those of a
-// partial batch.
+// partial batch, and none that the batch may lack.
 func (r *Replica) HasChangesBefore(b sassafrastray.Batch) bool {
 	t := r.topics[b.Topic]
 	if t == nil || !t.loaded || t.at.Era < b.Era {
 		return false
 	}
-	return t.at.Era > b.Era || t.newest() >= b.After
+	return t.at.Era > b.Era || t.newest() >= b.After && (b.Until == 0 || t.latest <= b.Until)
 }
 
 func (r *Replica) apply(t *topic, b sassafrastray.Batch, now time.Time) Change {
 	var c Change
 	if b.Era > t.at.Era {
-		t.at, t.latest = sassafrastray.Position{Era: b.Era}, 0
+		t.at, t.latest, t.readAt = sassafrastray.Position{Era: b.Era}, 0, 0
 	}
 	if b.Complete {
+		t.readAt = max(t.readAt, b.Revision)
 		present := make(map[string]bool, len(b.Entries))
 		for _, e := range b.Entries {
 			present[e.Name] = true
 		}
 		for _, name := range slices.Sorted(maps.Keys(t.entries)) {
 			if !present[name] {
+				// Its removal has no revision of its own by which other VMs would see
+				// that they lack it.
+				t.latest = max(t.latest, b.Revision)
 				r.removeEntry(t, b.Topic, name, t.missingUntil(b.Topic, false), now, &c)
 			}
 		}
--- a/internal/fleet/replica/update_test.go
+++ b/internal/fleet/replica/update_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -52,15 +53,28 @@
 // forwards them. The batch's revision is above that of its last entry, since other
 // topics raise the store's revision too.
 func (w *watcher) follow(h *history, now time.Time) (sassafrastray.Batch, bool) {
-	b := sassafrastray.Batch{Topic: sassafrastray.TopicBackends, Revision: h.revision + 1, After: w.r.Latest()[sassafrastray.TopicBackends]}
+	b := sassafrastray.Batch{Topic: sassafrastray.TopicBackends, Revision: h.revision + 1}
 	for _, e := range h.events {
 		if e.Revision > w.after {
 			b.Entries = append(b.Entries, e)
 		}
 	}
+	return w.apply(b, now)
+}
+
+// reread reads all entries again, as after an outage, and returns the changes as a
+// watcher forwards them.
+func (w *watcher) reread(h *history, now time.Time) (sassafrastray.Batch, bool) {
+	b := h.complete()
+	b.Revision++
+	return w.apply(b, now)
+}
+
+func (w *watcher) apply(b sassafrastray.Batch, now time.Time) (sassafrastray.Batch, bool) {
+	u := w.r.Difference(b)
 	w.after = b.Revision
 	w.r.Apply(b, now)
-	return b, len(b.Entries) > 0
+	return u, len(u.Entries) > 0 || u.Until > 0
 }
 
 func names(r *Replica) (out []string) {
@@ -70,9 +84,10 @@
 	return out
 }
 
-// TestForwardedUpdatesConverge lets two watchers follow the store independently and
-// forward changes, which may be lost, repeated or delayed. Once the receiving VM has
-// requested a copy of what it lacks, it must have the same servers as the watchers.
+// TestForwardedUpdatesConverge lets two watchers follow the store independently or read
+// it again, and forward changes, which may be lost, repeated or delayed. Once the receiving VM has
+// requested a copy of what it lacks from the one that is ahead, it must have the same
+// servers as the watchers.
 func TestForwardedUpdatesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := &history{current: map[string]sassafrastray.Entry{}}
@@ -86,12 +101,16 @@
 		peer.Apply(h.complete(), start)
 		var late []sassafrastray.Batch
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			switch rapid.SampledFrom([]string{"change", "follow", "late", "copy"}).Draw(t, "step") {
+			switch step := rapid.SampledFrom([]string{"change", "follow", "reread", "late", "copy"}).Draw(t, "step"); step {
 			case "change":
 				h.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), rapid.Bool().Draw(t, "gone"))
-			case "follow":
+			case "follow", "reread":
 				w := rapid.SampledFrom(watchers).Draw(t, "watcher")
-				b, changed := w.follow(h, start)
+				next := w.follow
+				if step == "reread" {
+					next = w.reread
+				}
+				b, changed := next(h, start)
 				if !changed || rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
 					break
 				}
@@ -111,8 +130,11 @@
 		for _, w := range watchers {
 			w.follow(h, start)
 		}
-		if peer.RevisionsBehind(0, watchers[0].r.Latest()) > 0 {
-			for _, b := range watchers[0].r.NewerTopics(peer.Held(0), start) {
+		ahead := slices.MaxFunc(watchers, func(a, b *watcher) int {
+			return cmp.Compare(peer.RevisionsBehind(0, a.r.Latest()), peer.RevisionsBehind(0, b.r.Latest()))
+		})
+		if peer.RevisionsBehind(0, ahead.r.Latest()) > 0 {
+			for _, b := range ahead.r.NewerTopics(peer.Held(0), start) {
 				peer.ApplyFromPeer(b, start)
 			}
 		}
--- a/metadata.go
+++ b/metadata.go
@@ -61,6 +61,10 @@
 		// After is set if one VM relays the batch to another: the revision of
 		// the latest change before those in the batch.
 		After int64 `json:"after,omitempty"`
+		// Until is set if the batch is the difference between two states of the topic
+		// and may lack entries that existed in between: the revision up to which a VM
+		// may have changes to apply it.
+		Until int64 `json:"until,omitempty"`
 		// SinceOutage is how long ago the VM that relays the batch reached the
 		// store again after an outage, or zero if there was no recent one.
 		SinceOutage time.Duration `json:"mended,omitempty"`
