Check a server again before a request is sent to it

Cause: a server was chosen and then a connection was opened, which takes up to 0.4 s; nothing looked at the server again before the first byte.

Ruled out as the whole of the 1.3 s between admission and server that were seen: opening a connection takes 0.4 s at most.

Change: right before the first byte the exchange asks placement whether the server still takes requests. If not, nothing is sent, nothing is held against the server, and another one gets the request, also if it must not run twice: no byte of it left.

Conclusion: a choice is acted upon only while it holds.

--- a/internal/fleet/edge/locked.go
+++ b/internal/fleet/edge/locked.go
@@ -60,6 +60,12 @@
 	p.table.Done(c, e, took, load, p.clock.Now())
 }
 
+// Takes reports whether the choice's server may still get the request.
+func (p *lockedPlacement) Takes(c placement.Choice) (takes bool) {
+	p.do(func(t *placement.Table, now time.Time) { takes = t.Takes(c, now) })
+	return takes
+}
+
 // SetLimit records the limit that the choice's server named.
 func (p *lockedPlacement) SetLimit(c placement.Choice, perSecond float64) {
 	p.do(func(t *placement.Table, now time.Time) { t.SetLimit(c, perSecond, now) })
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -43,6 +43,8 @@
 		// requests per second.
 		SetLimit(c placement.Choice, perSecond float64)
 		EndLimit(c placement.Choice)
+		// Takes reports whether the choice's server may still get the request.
+		Takes(c placement.Choice) bool
 		// SetLeaving and SetPause record that the choice's server said that it leaves,
 		// or that it wants no requests for a time.
 		SetLeaving(c placement.Choice)
--- a/internal/traffic/ingress/limit_test.go
+++ b/internal/traffic/ingress/limit_test.go
@@ -106,6 +106,13 @@
 	return t.Table.Pick(r, time.Now())
 }
 
+// Takes reports whether a server takes requests.
+func (t *table) Takes(c placement.Choice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Table.Takes(c, time.Now())
+}
+
 // SetLimit records a limit.
 func (t *table) SetLimit(c placement.Choice, perSecond float64) {
 	t.mu.Lock()
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -206,7 +206,10 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	h.buildBackendRequest(q, req, a)
-	call := upstream.Call{Address: a.choice.Server.Address, RequireFresh: !q.route.Idempotent, Deadline: q.deadline, ProgressTimeout: progressTimeout}
+	call := upstream.Call{
+		Address: a.choice.Server.Address, RequireFresh: !q.route.Idempotent, Deadline: q.deadline, ProgressTimeout: progressTimeout,
+		Ready: func() bool { return h.Placement.Takes(a.choice) },
+	}
 	switch {
 	case q.rest != nil:
 		call.Body, call.Size = io.MultiReader(bytes.NewReader(q.body), q.rest), q.ctx.Request.Header.ContentLength()
@@ -306,7 +309,7 @@
 		r.result = sassafrastray.ResultUnknown
 	}
 	switch a.out.Failure {
-	case upstream.Dial:
+	case upstream.Dial, upstream.Declined:
 		r.reason = sassafrastray.ReasonBackend
 	case upstream.Silent:
 		if a.reserved.Load() == nil {
@@ -347,7 +350,7 @@
 			end = placement.Wrong
 		}
 		h.Metrics.Sheds.WithLabelValues(string(q.service)).Inc()
-	case r.reason == sassafrastray.ReasonCallerGone:
+	case r.reason == sassafrastray.ReasonCallerGone, a.out.Failure == upstream.Declined:
 		end, counts = placement.Cancelled, false
 	case a.out.Failure == upstream.Dial:
 		end, counts = placement.Refused, false
--- a/internal/traffic/ingress/serve_test.go
+++ b/internal/traffic/ingress/serve_test.go
@@ -68,6 +68,7 @@
 	p.ends = append(p.ends, e)
 }
 
+func (p *serverList) Takes(placement.Choice) bool        { return true }
 func (p *serverList) SetLimit(placement.Choice, float64) {}
 func (p *serverList) EndLimit(placement.Choice)          {}
 
--- a/internal/traffic/placement/pause.go
+++ b/internal/traffic/placement/pause.go
@@ -37,5 +37,12 @@
 // leaves reports whether the server leaves, as its entry or one of its answers says.
 func (s *server) leaves() bool { return s.Leaving || s.saysLeaving }
 
+// Takes reports whether the choice's server may still get the request: it may have left
+// or named a pause since the choice.
+func (t *Table) Takes(c Choice, now time.Time) bool {
+	s := c.server
+	return s == nil || t.servers[s.Name] == s && !s.leaves() && !s.evacuated && !s.isPaused(now)
+}
+
 // isPaused reports whether the server wants no requests of this VM now.
 func (s *server) isPaused(now time.Time) bool { return now.Before(s.pausedUntil) }
