Keep the quota token of a request that runs at a later server

Teams got more than their rate (QUOTA): a request whose first try opened no connection, or found its server gone, got its token back at once, and the next try ran without one. Cause: the token was returned when a try ended, not when the request did.

Ruled out: that retries by callers explain it; they take tokens of their own.

Change: the token is returned once, when a request is refused and no byte of it was sent to any server.

Conclusion: what runs is charged.

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -179,6 +179,7 @@
 		r = h.serve(q)
 	}
 	if r != nil {
+		h.refundToken(q, r)
 		h.refuse(q, r)
 	}
 	h.recordEnd(q, r)
--- a/internal/traffic/ingress/quarantine.go
+++ b/internal/traffic/ingress/quarantine.go
@@ -47,7 +47,6 @@
 	if !v.Refused {
 		return nil
 	}
-	h.refundToken(q)
 	r := notRun(sassafrastray.ReasonHarmful, "")
 	r.retryAfter = v.RetryAfter
 	return r
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -58,7 +58,9 @@
 	// can't be sent again.
 	restUsed bool
 
-	tries  int
+	tries int
+	// sent is the number of tries that a server may have received.
+	sent   int
 	choice placement.Choice
 
 	mu       sync.Mutex
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -71,7 +71,6 @@
 		return r
 	}
 	if !h.endsInTime(q) {
-		h.refundToken(q)
 		return notRun(sassafrastray.ReasonLeaving, "no time is left for the request")
 	}
 	h.Retries.CountRequest(q.service)
@@ -160,7 +159,6 @@
 	if h.Pauses.Await() != q.pauses {
 		// The key, the quota and the deadline were checked before the pause.
 		h.release(reserved)
-		h.refundToken(q)
 		r := notRun(sassafrastray.ReasonStaleConfig, "the VM was paused")
 		r.retryAfter = pauseRetryAfter
 		return nil, r
@@ -182,7 +180,6 @@
 		if c.Reason == placement.None {
 			reason = sassafrastray.ReasonBackend
 		}
-		h.refundToken(q)
 		r := notRun(reason, string(c.Reason))
 		r.retryAfter = c.RetryAfter
 		return nil, r
@@ -193,10 +190,9 @@
 	return a, r
 }
 
-// refundToken returns the quota token of a request whose first try reached no
-// server.
-func (h *Handler) refundToken(q *request) {
-	if !q.route.Public && q.tries <= 1 {
+// refundToken returns the quota token of a refused request that was sent to no server.
+func (h *Handler) refundToken(q *request, r *refusal) {
+	if q.verdict.OK && r.result == sassafrastray.ResultNotRun && q.sent == 0 {
 		h.Quotas.Refund(q.team)
 	}
 }
@@ -221,9 +217,12 @@
 	end := h.limitTry(q, a, x, exclude)
 	a.out = x.Do(req, a.resp)
 	end()
+	if a.out.Sent {
+		q.sent++
+	}
 	if a.out.Failure != upstream.None {
 		h.checkCrash(q, a)
-		return h.exchangeFailure(q, a)
+		return h.exchangeFailure(a)
 	}
 	if len(a.resp.Header.Peek(h.Dialect.NotRun)) > 0 || a.resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
 		// The response states that the backend server did not run the request.
@@ -301,7 +300,7 @@
 }
 
 // exchangeFailure returns the refusal for an exchange that got no response.
-func (h *Handler) exchangeFailure(q *request, a *attempt) *refusal {
+func (h *Handler) exchangeFailure(a *attempt) *refusal {
 	fasthttp.ReleaseResponse(a.resp)
 	a.resp = nil
 	r := notRun(sassafrastray.ReasonBadResponse, string(a.out.Failure))
@@ -318,9 +317,6 @@
 	case upstream.Aborted, upstream.Body:
 		r.reason = sassafrastray.ReasonCallerGone
 	}
-	if r.result == sassafrastray.ResultNotRun {
-		h.refundToken(q)
-	}
 	return r
 }
 
