Let a double of the retry policy repeat tries that no server got

Cause: the test's double of the retry policy took a limit of zero, which the handler gives to tries that no server got, for no tries at all; the policy takes it for its own limit. Requests that were declined because their server had just said that it leaves were refused instead of sent to the free one.

Ruled out: a fault of the handler; with the real policy (TestServerChangesBeforeTheSend) such requests go to the next server.

Change: the double uses the policy's default limit in that case. The test's own checks are the same.

--- a/internal/traffic/ingress/serve_test.go
+++ b/internal/traffic/ingress/serve_test.go
@@ -45,7 +45,8 @@
 
 	// allowAll implements Quotas, Retries, Rollouts and Pauses. It admits every request,
 	// and has no rollouts. It allows retries of requests that are idempotent or
-	// have not run, up to the route's limit on attempts.
+	// have not run, up to the route's limit on attempts or, for tries that no server
+	// got, that of the retry policy.
 	allowAll struct{}
 )
 
@@ -81,7 +82,11 @@
 func (allowAll) CountRequest(sassafrastray.ServiceName)        {}
 func (allowAll) HasToken(sassafrastray.ServiceName) bool       { return true }
 func (allowAll) Next(a retry.Attempt) retry.Decision {
-	return retry.Decision{Retry: a.Number < a.MaxAttempts && (a.Idempotent || a.Result == sassafrastray.ResultNotRun), Exclude: a.Exclude}
+	limit := a.MaxAttempts
+	if limit == 0 {
+		limit = retry.Defaults().MaxAttempts
+	}
+	return retry.Decision{Retry: a.Number < limit && (a.Idempotent || a.Result == sassafrastray.ResultNotRun), Exclude: a.Exclude}
 }
 
 func (allowAll) Watches(sassafrastray.ServiceName) bool                     { return false }
