Return the quota token of a request that all servers shed

Callers within their rate were refused sooner than they need be: a request that every server shed was refused with 'not run', but its token was kept. Cause: the token was returned only if no byte was sent. A refusal that says 'not run' is true whatever was sent, and what has not run is not charged.

Ruled out: returning it twice; the end of the request is the only place.

Change: the token is returned whenever a request is refused as not run.

Measured: go test ./internal/traffic/ingress -run TestTokenIsKept: the two new cases failed before (1 token taken, 0 wanted), none now.

Conclusion: quota tokens and the result that callers are told agree.

--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -58,9 +58,7 @@
 	// can't be sent again.
 	restUsed bool
 
-	tries int
-	// sent is the number of tries that a server may have received.
-	sent   int
+	tries  int
 	choice placement.Choice
 
 	mu       sync.Mutex
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -190,9 +190,9 @@
 	return a, r
 }
 
-// refundToken returns the quota token of a refused request that was sent to no server.
+// refundToken returns the quota token of a refused request that has not run.
 func (h *Handler) refundToken(q *request, r *refusal) {
-	if q.verdict.OK && r.result == sassafrastray.ResultNotRun && q.sent == 0 {
+	if q.verdict.OK && r.result == sassafrastray.ResultNotRun {
 		h.Quotas.Refund(q.team)
 	}
 }
@@ -217,9 +217,6 @@
 	end := h.limitTry(q, a, x, exclude)
 	a.out = x.Do(req, a.resp)
 	end()
-	if a.out.Sent {
-		q.sent++
-	}
 	if a.out.Failure != upstream.None {
 		h.checkCrash(q, a)
 		return h.exchangeFailure(a)
--- a/internal/traffic/ingress/token_test.go
+++ b/internal/traffic/ingress/token_test.go
@@ -68,6 +68,7 @@
 		{"two servers refuse it", []netip.AddrPort{closed(), closed(), newBackend(t, 0, 200).address}, 200, 1},
 		{"the first server sheds it", []netip.AddrPort{newBackend(t, 0, 503).address, newBackend(t, 0, 200).address}, 200, 1},
 		{"there is no server", nil, 503, 0},
+		{"all servers shed it", []netip.AddrPort{newBackend(t, 0, 503).address, newBackend(t, 0, 503).address}, 503, 0},
 		{"all servers refuse it", []netip.AddrPort{closed(), closed()}, 503, 0},
 	} {
 		for _, path := range []string{"/read/x", "/write/x"} {
