Let the simulated store hide backend servers from single VMs

No test could bring a VM of a process test into that state: all VMs connect from the same address, so the simulated servers can't tell them apart.

Change: the simulated store can replace the addresses of backend servers in its answers to single VMs by one that refuses connections, and writes the entries again when that changes, so that watches return them.

Conclusion: a partition whose connections are refused can be played with whole processes. One whose connections hang can't.

--- a/internal/standin/registry/registry.go
+++ b/internal/standin/registry/registry.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -57,6 +58,10 @@
 		// LoseResponses lets writes take effect but closes the connection without
 		// a response.
 		LoseResponses bool `json:"lost"`
+		// Divert replaces the addresses of backend servers in the responses to calls
+		// that arrive at DivertAddrs, so that these VMs don't reach the servers.
+		Divert      string   `json:"divert"`
+		DivertAddrs []string `json:"diverted"`
 	}
 
 	// Registry is the state of the store and its HTTP handlers.
@@ -129,6 +134,29 @@
 	return f.Down != "" && (len(f.OnlyAddrs) == 0 || slices.Contains(f.OnlyAddrs, ctx.LocalIP().String()))
 }
 
+// rewriteServers writes the entries of all backend servers again, so that watches return
+// them. The caller holds r.mu.
+func (r *Registry) rewriteServers() {
+	for _, name := range slices.Sorted(maps.Keys(r.objects["servers"])) {
+		r.record("servers", r.objects["servers"][name], false)
+	}
+}
+
+// divert returns the object as the call's response has it.
+func (f *Faults) divert(ctx *fasthttp.RequestCtx, kind string, o Object) Object {
+	var spec map[string]json.RawMessage
+	if f.Divert == "" || kind != "servers" || !slices.Contains(f.DivertAddrs, ctx.LocalIP().String()) || json.Unmarshal(o.Spec, &spec) != nil {
+		return o
+	}
+	spec["addr"], _ = json.Marshal(f.Divert)
+	b, err := json.Marshal(spec)
+	if err != nil {
+		panic("registry: encode specification: " + err.Error())
+	}
+	o.Spec = b
+	return o
+}
+
 // Control handles requests on the control interface: PUT /control/faults replaces
 // the Faults, DELETE /control/history discards the history, PUT /control/restore carries
 // out a Restore, and GET /control/calls returns the number of calls of clients so far.
@@ -142,7 +170,11 @@
 			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
+		diverts := f.Divert != r.faults.Divert || !slices.Equal(f.DivertAddrs, r.faults.DivertAddrs)
 		r.faults = f
+		if diverts {
+			r.rewriteServers()
+		}
 		r.notifyWaiters()
 	case "/control/history":
 		r.history, r.compacted = nil, r.revision
@@ -174,7 +206,7 @@
 	after := string(ctx.QueryArgs().Peek("after"))
 	for name, o := range r.objects[kind] {
 		if name > after {
-			items = append(items, o)
+			items = append(items, r.faults.divert(ctx, kind, o))
 		}
 	}
 	slices.SortFunc(items, func(a, b Object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
@@ -216,6 +248,7 @@
 		events := []event{}
 		for _, e := range r.history {
 			if e.kind == kind && e.Object.Metadata.Revision > after {
+				e.Object = r.faults.divert(ctx, kind, e.Object)
 				events = append(events, e)
 			}
 		}
