Serve callers of a VM that reaches no backend server through other VMs

Cause: each failure was blamed on a server. The VM never concluded that the failure was its own, stayed in the look-ups, and had no other way to a server for callers that had cached its address or kept connections to it.

Ruled out: that leaving the look-ups is enough; callers use an answer for up to three times its TTL of 2 s, and a whole domain or region may be cut off.

Change: - Package partition suspects a partition from connections that don't open and from silence at all servers, and decides by a probe of six servers in as many failure domains as possible; at most one probe a second. - While it lasts, requests go to another VM, which sends them to servers as its own (package relay).

Conclusion: a VM that callers, the store and other VMs reach serves them.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -1,5 +1,5 @@
 // Package directory selects the VMs that a caller may use: those of its own region
-// that accept requests, and others only if there are none.
+// that accept requests and reach backend servers, and others only if there are none.
 //
 // Of a region with many VMs it selects only a few, the largest ones, which have half
 // of the region's capacity. A team's rate is divided among the VMs that its callers
@@ -41,8 +41,9 @@
 	Address netip.AddrPort
 	Domain  sassafrastray.DomainName
 	Region  sassafrastray.RegionName
-	// Ready VMs have a configuration, Suspect ones have been silent for too long.
-	Ready, Suspect bool
+	// Ready VMs have a configuration, Suspect ones have been silent for too long, and
+	// Partitioned ones reach no backend servers by themselves.
+	Ready, Suspect, Partitioned bool
 	// Size is the VM's capacity in processor cores; zero means unknown.
 	Size float64
 }
@@ -61,12 +62,20 @@
 // host's routes may be served; they matter only if the caller's own region has no
 // VM.
 func Select(vms []VM, region sassafrastray.RegionName, homes []sassafrastray.RegionName) []netip.AddrPort {
+	local := func(v VM) bool { return v.Region == region }
+	home := func(v VM) bool { return slices.Contains(homes, v.Region) }
+	anywhere := func(VM) bool { return true }
+	connected := func(place func(VM) bool) func(VM) bool {
+		return func(v VM) bool { return v.Ready && !v.Suspect && !v.Partitioned && place(v) }
+	}
+	answering := func(place func(VM) bool) func(VM) bool {
+		return func(v VM) bool { return v.Ready && !v.Suspect && place(v) }
+	}
 	criteria := []func(v VM) bool{
-		func(v VM) bool { return v.Ready && !v.Suspect && v.Region == region },
-		func(v VM) bool { return v.Ready && !v.Suspect && slices.Contains(homes, v.Region) },
-		func(v VM) bool { return v.Ready && !v.Suspect },
+		connected(local), connected(home), connected(anywhere),
+		answering(local), answering(home), answering(anywhere),
 		func(v VM) bool { return v.Ready },
-		func(VM) bool { return true },
+		anywhere,
 	}
 	for i, matches := range criteria {
 		var selected []VM
@@ -75,7 +84,7 @@
 				selected = append(selected, v)
 			}
 		}
-		if i == 0 {
+		if i == 0 || i == 3 {
 			selected = largest(selected)
 		}
 		if len(selected) > 0 {
--- a/internal/fleet/directory/directory_test.go
+++ b/internal/fleet/directory/directory_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestSelect runs the cases of the data file: the VMs as NAME/REGION/FLAGS with r
-// for ready and s for suspect, the caller's region, the homes, and the selected VMs.
+// for ready, s for suspect and p for partitioned, the caller's region, the homes, and the selected VMs.
 func TestSelect(t *testing.T) {
 	b, err := os.ReadFile("testdata/select.txt")
 	if err != nil {
@@ -31,7 +31,7 @@
 			p := strings.Split(w, "/")
 			vms = append(vms, VM{
 				Address: netip.MustParseAddrPort("10.0.0." + p[0] + ":80"), Region: sassafrastray.RegionName(p[1]),
-				Ready: strings.Contains(p[2], "r"), Suspect: strings.Contains(p[2], "s"),
+				Ready: strings.Contains(p[2], "r"), Suspect: strings.Contains(p[2], "s"), Partitioned: strings.Contains(p[2], "p"),
 			})
 		}
 		var homes []sassafrastray.RegionName
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -145,6 +145,8 @@
 		metrics     *metrics
 		pool        *upstream.Pool
 		innerPool   *upstream.Pool
+		relayPool   *upstream.Pool
+		partition   *lockedPartition
 		client      *gossip.Client
 		handler     *ingress.Handler
 		disconnects *disconnect.Watcher
@@ -260,8 +262,13 @@
 
 // buildTraffic creates the components that handle requests.
 func (v *VM) buildTraffic() {
+	v.partition = v.newPartition()
 	v.pool = upstream.New(v.trafficClock, upstream.Options{
 		DialTimeout: dialTimeout, IdleTimeout: idleConnTimeout, MaxIdlePerAddress: maxIdleConns, IDHeader: v.opt.Dialect.ID, FreshFor: freshConnAge, MaxDiscarded: maxStrays, AllowUnframed: true,
+		Dialed: v.partition.dialed,
+	})
+	v.relayPool = upstream.New(v.trafficClock, upstream.Options{
+		DialTimeout: dialTimeout, IdleTimeout: idleConnTimeout, MaxIdlePerAddress: maxIdleConns, IDHeader: v.opt.Dialect.ID, FreshFor: freshConnAge,
 	})
 	v.innerPool = upstream.New(v.trafficClock, upstream.Options{DialTimeout: dialTimeout, IdleTimeout: idleConnTimeout, MaxIdlePerAddress: maxIdleConns})
 	v.client = gossip.New(v.innerPool, v.trafficClock)
@@ -277,7 +284,7 @@
 	v.quarantine = &lockedQuarantine{clock: v.clock, table: quarantine.New(v.self.Name)}
 	v.retries = &lockedRetries{clock: v.trafficClock, policy: retry.New(v.newRand(), v.retryOptions())}
 	v.handler = ingress.New(ingress.Deps{
-		Clock: v.trafficClock, Log: v.log, Dialect: v.opt.Dialect, Region: v.opt.Region, Pool: v.pool,
+		Clock: v.trafficClock, Log: v.log, Dialect: v.opt.Dialect, Region: v.opt.Region, Pool: v.pool, Relays: v.relayPool, Partition: v.partition, Cores: v.self.Cores,
 		Placement: v.placement, Quotas: v.quotas, Rollouts: v.rollouts, Quarantine: v.quarantine, Splits: v.splits, Disconnects: v.disconnects,
 		Retries: v.retries,
 		Metrics: entry.NewMetrics(v.registry),
@@ -392,7 +399,8 @@
 func (v *VM) tick(now time.Time) {
 	v.handlePause(now)
 	v.applyChange(v.replica.Tick(now), now)
-	v.logServerEvents(v.placement.tick())
+	v.partition.tick()
+	v.logServerEvents(v.placement.tick(v.partition.Partitioned()))
 	events, active, news := v.quarantine.tick()
 	v.logQuarantine(events)
 	v.metrics.quarantined.Set(float64(active))
@@ -408,6 +416,7 @@
 	if v.isDue("sweep", sweepInterval, now) {
 		v.pool.Sweep()
 		v.innerPool.Sweep()
+		v.relayPool.Sweep()
 	}
 	v.checkStore(now)
 	v.recallMemory(now)
--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -101,7 +101,7 @@
 func (v *VM) newHeartbeat(now time.Time) *gossip.Heartbeat {
 	v.sequence++
 	h := &gossip.Heartbeat{
-		VM: v.self, Incarnation: v.incarnation, Sequence: v.sequence, Ready: v.ready.Load(), Idle: v.idle,
+		VM: v.self, Incarnation: v.incarnation, Sequence: v.sequence, Ready: v.ready.Load(), Idle: v.idle, Partitioned: v.partition.Partitioned(),
 		Latest: v.replica.Latest(), Era: v.replica.Era(), StoreReachable: v.replica.FailingFor(now) == 0,
 	}
 	if c := v.replica.Config(); c != nil {
--- a/internal/fleet/edge/locked.go
+++ b/internal/fleet/edge/locked.go
@@ -66,6 +66,12 @@
 	return takes
 }
 
+// Named returns a choice of the server with a name, which is not counted there.
+func (p *lockedPlacement) Named(name sassafrastray.BackendName) (c placement.Choice) {
+	p.do(func(t *placement.Table, _ time.Time) { c = t.Named(name) })
+	return c
+}
+
 // SetLimit records the limit that the choice's server named.
 func (p *lockedPlacement) SetLimit(c placement.Choice, perSecond float64) {
 	p.do(func(t *placement.Table, now time.Time) { t.SetLimit(c, perSecond, now) })
@@ -93,10 +99,13 @@
 }
 
 // tick adjusts the placement to the current time and returns the events of servers
-// since the last tick.
-func (p *lockedPlacement) tick() (events []placement.Event) {
+// since the last tick. While the VM is partitioned from the servers its own load there
+// says nothing.
+func (p *lockedPlacement) tick(partitioned bool) (events []placement.Event) {
 	p.do(func(t *placement.Table, now time.Time) {
-		t.Tick(now)
+		if !partitioned {
+			t.Tick(now)
+		}
 		events = t.Events()
 	})
 	return events
--- a/internal/fleet/edge/metrics.go
+++ b/internal/fleet/edge/metrics.go
@@ -13,6 +13,7 @@
 	era              prometheus.Gauge
 	quarantined      prometheus.Gauge
 	pauses           *prometheus.CounterVec
+	partitioned      prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -42,6 +43,9 @@
 	m.pauses = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "server_pauses_total", Help: "Pauses that backend servers named, by service.",
 	}, []string{"service"})
-	r.MustRegister(m.store, m.heartbeats, m.overflow, m.config, m.storeUnreachable, m.era, m.quarantined, m.pauses)
+	m.partitioned = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "partitioned", Help: "1 while the VM is partitioned from all backend servers, 0 otherwise.",
+	})
+	r.MustRegister(m.partitioned, m.store, m.heartbeats, m.overflow, m.config, m.storeUnreachable, m.era, m.quarantined, m.pauses)
 	return m
 }
--- a/internal/fleet/edge/serve.go
+++ b/internal/fleet/edge/serve.go
@@ -20,6 +20,7 @@
 	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/traffic/entry"
 	"sassafrastray/internal/traffic/placement"
+	"sassafrastray/internal/traffic/relay"
 )
 
 const (
@@ -90,7 +91,7 @@
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{}))
 	return listener.Open([]listener.Spec{
 		{Name: "callers", Address: v.opt.VM.CallerAddress, Server: v.newServer("callers", v.handler.Handle)},
-		{Name: "inner", Address: v.opt.VM.PeerAddress, Server: v.newServer("inner", func(ctx *fasthttp.RequestCtx) { gossip.Handle(ctx, v) })},
+		{Name: "inner", Address: v.opt.VM.PeerAddress, Server: v.newServer("inner", v.handleInner)},
 		{Name: "ready", Address: v.opt.Ready, Server: v.newServer("ready", v.handleReady)},
 		{Name: "lookups", Address: v.opt.Lookups, Server: v.newServer("lookups", v.handleLookup)},
 		{Name: "metrics", Address: v.opt.Metrics, Server: v.newServer("metrics", metrics), Optional: true},
@@ -115,6 +116,15 @@
 // Printf drops one message.
 func (discardLogger) Printf(string, ...any) {}
 
+// handleInner handles a message of another VM, or a request that it relays.
+func (v *VM) handleInner(ctx *fasthttp.RequestCtx) {
+	if relay.IsRelayed(&ctx.Request.Header) {
+		v.handler.HandleRelayed(ctx)
+		return
+	}
+	gossip.Handle(ctx, v)
+}
+
 func (v *VM) handleReady(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != v.opt.ReadyPath {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -171,7 +181,7 @@
 	view := &lookupView{hosts: v.handler.Hosts()}
 	if v.self.State == sassafrastray.VMLive {
 		view.vms = append(view.vms, directory.VM{
-			Address: v.self.CallerAddress, Domain: v.self.Domain, Region: v.opt.Region, Ready: ready, Size: v.self.Cores,
+			Address: v.self.CallerAddress, Domain: v.self.Domain, Region: v.opt.Region, Ready: ready, Size: v.self.Cores, Partitioned: v.partition.Partitioned(),
 		})
 	}
 	for _, m := range v.members.View(now) {
@@ -180,11 +190,12 @@
 			continue
 		}
 		view.vms = append(view.vms, directory.VM{
-			Address: m.VM.CallerAddress, Domain: m.VM.Domain, Region: v.opt.Regions[m.VM.Domain], Ready: h.Ready, Suspect: m.Suspect, Size: m.VM.Cores,
+			Address: m.VM.CallerAddress, Domain: m.VM.Domain, Region: v.opt.Regions[m.VM.Domain], Ready: h.Ready, Suspect: m.Suspect, Size: m.VM.Cores, Partitioned: h.Partitioned,
 		})
 	}
 	slices.SortFunc(view.vms, func(a, b directory.VM) int { return a.Address.Compare(b.Address) })
 	v.lookupView.Store(view)
+	v.updateHelpers(now)
 	v.applySelection(directory.Select(view.vms, v.opt.Region, nil), ready)
 }
 
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -63,6 +63,9 @@
 		// Idle VMs are left out of look-ups, since others of their region are
 		// larger.
 		Idle bool `json:"idle,omitempty"`
+		// Partitioned VMs reach no backend servers. Look-ups return them only if there
+		// are no others.
+		Partitioned bool `json:"cut,omitempty"`
 		// New VMs do not know the demand of their teams yet.
 		New bool `json:"new,omitempty"`
 		// Config is the number of the VM's configuration, Latest the revision of the
--- a/internal/operator/message/message.go
+++ b/internal/operator/message/message.go
@@ -11,6 +11,9 @@
 	Retried   = "retry"
 	Placed    = "placement"
 	Routed    = "routing"
+	// RelayedAnswered and RelayedRefused are the end of a request that another VM relayed.
+	RelayedAnswered = "answered for another VM"
+	RelayedRefused  = "refused for another VM"
 )
 
 // Lines about the state of a VM and its view of the fleet.
@@ -25,6 +28,8 @@
 	ServerPaused      = "backend server names a pause"
 	PauseUnreadable   = "the pause of a backend server can't be read"
 	ServerUnlimited   = "backend server names no limit any more"
+	PartitionBegun    = "partitioned from all backend servers"
+	PartitionEnded    = "backend servers are reached again"
 	QuarantineBegun   = "request kept from backend servers"
 	QuarantineTrial   = "request in quarantine let through"
 	QuarantineEnded   = "request sent to backend servers again"
--- a/internal/traffic/ingress/admit.go
+++ b/internal/traffic/ingress/admit.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"io"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/traffic/problem"
+	"sassafrastray/internal/traffic/relay"
 )
 
 const (
@@ -51,6 +53,11 @@
 		return r
 	}
 	q.config = s.Config.Number
+	if q.relayed != nil {
+		if r := h.admitRelayed(q, s); r != nil {
+			return r
+		}
+	}
 	q.route = s.Hosts.Find(string(q.ctx.Host()), q.path())
 	if q.route == nil {
 		return notRun(sassafrastray.ReasonPath, "")
@@ -72,7 +79,7 @@
 	if q.rest == nil {
 		h.Disconnects.Add(q, q.conn)
 	}
-	if q.route.Public {
+	if q.route.Public || q.relayed != nil {
 		return nil
 	}
 	q.verdict = h.Quotas.Take(q.team)
@@ -89,7 +96,8 @@
 // headers that the system sets itself, also on public routes.
 func (h *Handler) authenticate(q *request, s *Snapshot) *refusal {
 	d := &q.ctx.Request.Header
-	k := append([]byte(nil), d.Peek(h.Dialect.Key)...)
+	k := bytes.Clone(d.Peek(h.Dialect.Key))
+	q.key = k
 	d.Del(h.Dialect.Key)
 	d.Del(h.Dialect.Team)
 	d.Del(h.Dialect.Expect)
@@ -127,6 +135,9 @@
 	if q.id != "" {
 		ctx.Response.Header.Set(h.Dialect.ID, q.id)
 	}
+	if q.relayed != nil {
+		relay.Result{Reason: r.reason, Result: r.result, Wait: r.retryAfter, Detail: r.detail}.Write(&ctx.Response.Header)
+	}
 	if r.retryAfter > 0 && r.result == sassafrastray.ResultNotRun {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, h.Dialect.FormatWait(r.retryAfter))
 	}
--- a/internal/traffic/ingress/answer.go
+++ b/internal/traffic/ingress/answer.go
@@ -8,6 +8,7 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/traffic/hop"
+	"sassafrastray/internal/traffic/relay"
 	"sassafrastray/internal/traffic/upstream"
 )
 
@@ -77,6 +78,16 @@
 	h.sizes.record(q.route.Name, max(0, bytes)+max(0, q.ctx.Request.Header.ContentLength()))
 }
 
+// removeWords removes what a server says of itself to this VM.
+func (h *Handler) removeWords(d *fasthttp.ResponseHeader, status int) {
+	d.Del(h.Dialect.Load)
+	d.Del(h.Dialect.Leaving)
+	if status == fasthttp.StatusServiceUnavailable {
+		// The pause is between the server and this VM; other servers may be free.
+		d.Del(h.Dialect.Pause)
+	}
+}
+
 // deliver passes a response on to the caller.
 func (h *Handler) deliver(q *request, a *attempt) {
 	h.recordSize(q, a)
@@ -84,11 +95,10 @@
 	closing := out.ConnectionClose()
 	a.resp.Header.CopyTo(&out.Header)
 	hop.RemoveHeaders(&out.Header)
-	out.Header.Del(h.Dialect.Load)
-	out.Header.Del(h.Dialect.Leaving)
-	if a.resp.StatusCode() == fasthttp.StatusServiceUnavailable {
-		// The pause is between the server and this VM; other servers may be free.
-		out.Header.Del(h.Dialect.Pause)
+	if q.relayed != nil {
+		relay.Result{Backend: a.choice.Server.Name}.Write(&out.Header)
+	} else {
+		h.removeWords(&out.Header, a.resp.StatusCode())
 	}
 	h.Metrics.Bytes.WithLabelValues(string(q.service)).Add(float64(len(a.body)))
 	body := &callerBody{conn: q.conn, clock: h.Clock, deadline: q.deadline}
--- a/internal/traffic/ingress/endless_test.go
+++ b/internal/traffic/ingress/endless_test.go
@@ -50,9 +50,10 @@
 	return placement.Choice{Server: s, Reason: placement.Preferred, Expected: 10 * time.Millisecond}, ok && len(r.Exclude) == 0
 }
 
-func (serversByObject) Takes(placement.Choice) bool        { return true }
-func (serversByObject) SetLimit(placement.Choice, float64) {}
-func (serversByObject) EndLimit(placement.Choice)          {}
+func (serversByObject) Takes(placement.Choice) bool                      { return true }
+func (serversByObject) Named(sassafrastray.BackendName) placement.Choice { return placement.Choice{} }
+func (serversByObject) SetLimit(placement.Choice, float64)               {}
+func (serversByObject) EndLimit(placement.Choice)                        {}
 
 func (serversByObject) SetLeaving(placement.Choice)              {}
 func (serversByObject) SetPause(placement.Choice, time.Duration) {}
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,9 @@
 		EndLimit(c placement.Choice)
 		// Takes reports whether the choice's server may still get the request.
 		Takes(c placement.Choice) bool
+		// Named returns a choice of the server with a name, which is not counted as a
+		// request there.
+		Named(name sassafrastray.BackendName) placement.Choice
 		// SetLeaving and SetPause record that the choice's server said that it leaves,
 		// or that it wants no requests for a time.
 		SetLeaving(c placement.Choice)
@@ -104,6 +108,27 @@
 		Answered(s sassafrastray.ServiceName, f quarantine.Fingerprint, age time.Duration)
 	}
 
+	// Partition tells whether the VM reaches backend servers, and which other VMs can
+	// serve its requests if it does not. It is safe for concurrent use.
+	Partition interface {
+		// Partitioned reports whether the VM is partitioned from all backend servers.
+		Partitioned() bool
+		// Helper chooses a VM that serves a request instead, in a region that the rules
+		// allow. It returns false if the VM is not partitioned or there is none. The
+		// caller must call Release when the request has ended.
+		Helper(regions [2][]sassafrastray.RegionName, exclude []sassafrastray.VMName) (sassafrastray.VM, bool)
+		Release(name sassafrastray.VMName)
+		// Begin and End record that a request waits at a server, and whether it was
+		// answered.
+		Begin(expected time.Duration) uint64
+		End(id uint64, answered bool)
+		// HeardSince reports whether any server answered, or was reached, after a time.
+		HeardSince(t time.Time) bool
+		// Reaches reports whether the VM can open connections to other servers than the
+		// one at an address. It may try to.
+		Reaches(other netip.AddrPort) bool
+	}
+
 	// Splitter divides a route's requests among its services. It is safe for
 	// concurrent use.
 	Splitter interface {
@@ -112,31 +137,37 @@
 
 	// Deps are the dependencies of a Handler.
 	Deps struct {
-		Clock       sassafrastray.Clock
-		Log         *slog.Logger
-		Dialect     sassafrastray.Dialect
-		Region      sassafrastray.RegionName
-		Pool        *upstream.Pool
-		Placement   Placement
-		Quotas      Quotas
-		Retries     Retries
-		Rollouts    Rollouts
-		Quarantine  Quarantine
-		Splits      Splitter
-		Disconnects *disconnect.Watcher
-		Metrics     *entry.Metrics
-		Pauses      Pauses
+		Clock   sassafrastray.Clock
+		Log     *slog.Logger
+		Dialect sassafrastray.Dialect
+		Region  sassafrastray.RegionName
+		// Pool has the connections to backend servers, Relays those to other VMs.
+		Pool, Relays *upstream.Pool
+		Partition    Partition
+		Placement    Placement
+		Quotas       Quotas
+		Retries      Retries
+		Rollouts     Rollouts
+		Quarantine   Quarantine
+		Splits       Splitter
+		Disconnects  *disconnect.Watcher
+		Metrics      *entry.Metrics
+		Pauses       Pauses
 		// Memory is the VM's memory in bytes, and LinkBytesPerSecond the capacity
 		// of its network link. Zero means unknown.
 		Memory             int64
 		LinkBytesPerSecond float64
+		// Cores is the VM's capacity in processor cores. Zero means unknown.
+		Cores float64
 	}
 
 	// Handler handles the requests of callers.
 	Handler struct {
 		Deps
-		snap   atomic.Pointer[Snapshot]
-		active atomic.Int64
+		snap atomic.Pointer[Snapshot]
+		// active is the number of requests in progress, relayed that of those which
+		// other VMs relay to this one.
+		active, relayed atomic.Int64
 		// leavingUntil is when the VM stops, if it is stopping.
 		leavingUntil atomic.Pointer[time.Time]
 		memory       *memory
@@ -166,18 +197,30 @@
 
 // Handle handles one request of a caller.
 func (h *Handler) Handle(ctx *fasthttp.RequestCtx) {
+	h.handle(h.receive(ctx))
+}
+
+func (h *Handler) handle(q *request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
+	if q.relayed != nil {
+		h.relayed.Add(1)
+		defer h.relayed.Add(-1)
+	}
 	if h.isLeaving() {
-		ctx.SetConnectionClose()
+		q.ctx.SetConnectionClose()
 	}
-	q := h.receive(ctx)
 	defer h.Disconnects.Remove(q)
 	defer func() { h.memory.release(q.held) }()
 	r := h.admit(q)
 	if r == nil {
 		r = h.serve(q)
 	}
+	h.finish(q, r)
+}
+
+// finish refuses the request if there is a refusal, and records its end.
+func (h *Handler) finish(q *request, r *refusal) {
 	if r != nil {
 		h.refundToken(q, r)
 		h.refuse(q, r)
--- a/internal/traffic/ingress/limit_test.go
+++ b/internal/traffic/ingress/limit_test.go
@@ -113,6 +113,13 @@
 	return t.Table.Takes(c, time.Now())
 }
 
+// Named returns a choice of the server with a name.
+func (t *table) Named(name sassafrastray.BackendName) placement.Choice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Table.Named(name)
+}
+
 // SetLimit records a limit.
 func (t *table) SetLimit(c placement.Choice, perSecond float64) {
 	t.mu.Lock()
--- a/internal/traffic/ingress/log.go
+++ b/internal/traffic/ingress/log.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"sassafrastray"
 	"sassafrastray/internal/operator/message"
 	"sassafrastray/internal/traffic/placement"
-	"sassafrastray/internal/traffic/retry"
 )
 
 // recordEnd counts a request that has ended and writes its log line.
@@ -17,8 +17,12 @@
 	if r != nil {
 		reason = r.reason
 	}
-	h.Metrics.Requests.WithLabelValues("callers", string(q.service), string(q.team), string(reason)).Inc()
-	h.Metrics.Latency.WithLabelValues("callers", string(q.service)).Observe(now.Sub(q.arrived).Seconds())
+	side := "callers"
+	if q.relayed != nil {
+		side = "vms"
+	}
+	h.Metrics.Requests.WithLabelValues(side, string(q.service), string(q.team), string(reason)).Inc()
+	h.Metrics.Latency.WithLabelValues(side, string(q.service)).Observe(now.Sub(q.arrived).Seconds())
 	level := slog.LevelInfo
 	if r != nil {
 		level = slog.LevelWarn
@@ -32,19 +36,26 @@
 		"left", q.deadline.Sub(now), "share", q.verdict.Share, "demands", q.verdict.DemandAge, "delay", q.verdict.Delay,
 		"tokens", q.verdict.Tokens, "capacity", q.verdict.Capacity, "used", q.verdict.Used, "others", q.verdict.OthersUsed,
 	}
+	if q.helper != "" {
+		args = append(args, "through", q.helper)
+	}
 	args = appendChoice(args, &q.choice)
+	answered, refused := message.Answered, message.Refused
+	if q.relayed != nil {
+		answered, refused = message.RelayedAnswered, message.RelayedRefused
+	}
 	if r != nil {
 		args = append(args, "result", r.result, "detail", r.detail, "wait", r.retryAfter)
-		h.Log.Warn(message.Refused, args...)
+		h.Log.Warn(refused, args...)
 		return
 	}
-	h.Log.Info(message.Answered, args...)
+	h.Log.Info(answered, args...)
 }
 
 // logTry writes a log line about a try whose response was not used, with the
 // decision on a retry. The line at the end of the request describes only the last
 // try.
-func (h *Handler) logTry(q *request, a *attempt, r *refusal, d retry.Decision) {
+func (h *Handler) logTry(q *request, a *attempt, r *refusal, again bool, pause time.Duration) {
 	if a == nil || !h.Log.Enabled(context.Background(), slog.LevelWarn) {
 		return
 	}
@@ -53,13 +64,16 @@
 		"request", q.id, "try", q.tries, "service", q.service, "config", q.config, "took", now.Sub(a.start),
 		"left", q.deadline.Sub(now), "address", a.choice.Server.Address, "sent", a.out.Sent,
 	}
+	if a.helper != "" {
+		args = append(args, "through", a.helper)
+	}
 	args = appendChoice(args, &a.choice)
 	if r == nil {
 		args = append(args, "reason", "failure", "status", a.resp.StatusCode())
 	} else {
 		args = append(args, "reason", r.reason, "result", r.result, "detail", r.detail)
 	}
-	h.Log.Warn(message.TryFailed, append(args, "again", d.Retry, "pause", d.Backoff)...)
+	h.Log.Warn(message.TryFailed, append(args, "again", again, "pause", pause)...)
 }
 
 // appendChoice appends the log attributes of the chosen backend server and the
--- a/internal/traffic/ingress/memory_test.go
+++ b/internal/traffic/ingress/memory_test.go
@@ -23,9 +23,10 @@
 	return placement.Choice{Server: p.BackendServer, Reason: placement.Preferred, Expected: 10 * time.Millisecond}, true
 }
 
-func (anyServer) Takes(placement.Choice) bool        { return true }
-func (anyServer) SetLimit(placement.Choice, float64) {}
-func (anyServer) EndLimit(placement.Choice)          {}
+func (anyServer) Takes(placement.Choice) bool                      { return true }
+func (anyServer) Named(sassafrastray.BackendName) placement.Choice { return placement.Choice{} }
+func (anyServer) SetLimit(placement.Choice, float64)               {}
+func (anyServer) EndLimit(placement.Choice)                        {}
 
 func (anyServer) SetLeaving(placement.Choice)              {}
 func (anyServer) SetPause(placement.Choice, time.Duration) {}
--- a/internal/traffic/ingress/quarantine.go
+++ b/internal/traffic/ingress/quarantine.go
@@ -53,10 +53,11 @@
 }
 
 // checkCrash finds out whether the server crashed with the request: the connection ended
-// without a response and no other can be opened. One that leaves may just have ended.
+// without a response and no other can be opened, though other servers are reached. One
+// that leaves may just have ended.
 func (h *Handler) checkCrash(q *request, a *attempt) {
 	s := &a.choice.Server
-	if a.out.Failure != upstream.Cut || !a.out.Sent || s.Leaving || !h.Pool.Refuses(s.Address, q.deadline) {
+	if a.out.Failure != upstream.Cut || !a.out.Sent || s.Leaving || !h.Pool.Refuses(s.Address, q.deadline) || !h.Partition.Reaches(s.Address) {
 		return
 	}
 	a.crashed = true
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -13,6 +13,7 @@
 	"sassafrastray/internal/limit/ratelimit"
 	"sassafrastray/internal/traffic/placement"
 	"sassafrastray/internal/traffic/quarantine"
+	"sassafrastray/internal/traffic/relay"
 	"sassafrastray/internal/traffic/upstream"
 )
 
@@ -36,6 +37,7 @@
 	route    *sassafrastray.Route
 	service  sassafrastray.ServiceName
 	team     sassafrastray.TeamName
+	key      []byte
 	regions  [2][]sassafrastray.RegionName // allowed by the route and by the team
 	priority int
 	object   string
@@ -58,8 +60,14 @@
 	// can't be sent again.
 	restUsed bool
 
-	tries  int
+	tries int
+	// sent is the number of tries that a server may have received.
+	sent   int
 	choice placement.Choice
+	// helper is the VM that the request was last relayed to.
+	helper sassafrastray.VMName
+	// relayed is set if another VM relays the request to this one.
+	relayed *relay.Request
 
 	mu       sync.Mutex
 	gone     bool
@@ -100,6 +108,25 @@
 	return q.route.Name
 }
 
+// maxTries returns how many servers the request may be sent to, or zero if the route has
+// no limit.
+func (q *request) maxTries() int {
+	n := q.route.MaxAttempts
+	if q.relayed != nil && q.relayed.Tries > 0 && (n <= 0 || q.relayed.Tries < n) {
+		n = q.relayed.Tries
+	}
+	return n
+}
+
+// triesLeft returns how many of them are left, at least one.
+func (q *request) triesLeft() int {
+	n := q.maxTries()
+	if n <= 0 {
+		return 0
+	}
+	return max(1, n-q.sent)
+}
+
 // receive creates a request from the headers that identify the request and set
 // its object and deadline.
 func (h *Handler) receive(ctx *fasthttp.RequestCtx) *request {
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -60,6 +61,8 @@
 	stream io.ReadCloser
 	// crashed means that the server crashed with the request.
 	crashed bool
+	// helper is the VM that the request was relayed to, or empty.
+	helper sassafrastray.VMName
 }
 
 // serve sends the request to a backend server, and retries after a failure that
@@ -73,7 +76,6 @@
 	if !h.endsInTime(q) {
 		return notRun(sassafrastray.ReasonLeaving, "no time is left for the request")
 	}
-	h.Retries.CountRequest(q.service)
 	var exclude []sassafrastray.BackendName
 	var mayHaveRun bool
 	var failure *attempt
@@ -99,9 +101,9 @@
 		if r != nil && mayHaveRun {
 			r.result = sassafrastray.ResultUnknown
 		}
-		d := h.Retries.Next(h.retryAttempt(q, a, r, exclude))
+		d := h.nextTry(q, a, r, exclude)
 		d.Retry = d.Retry && q.repeatable() && !q.isGone() && !h.isHarmful(q, a) && h.endsInTime(q)
-		h.logTry(q, a, r, d)
+		h.logTry(q, a, r, d.Retry, d.Backoff)
 		if !d.Retry {
 			h.release(reserved)
 			return h.giveUp(q, failure, r)
@@ -112,12 +114,20 @@
 	}
 }
 
+// nextTry decides what follows a try. The end of a relayed request is final.
+func (h *Handler) nextTry(q *request, a *attempt, r *refusal, exclude []sassafrastray.BackendName) retry.Decision {
+	if a != nil && a.helper != "" {
+		return retry.Decision{Reason: retry.Final}
+	}
+	return h.Retries.Next(h.retryAttempt(q, a, r, exclude))
+}
+
 // retryAttempt describes how a try ended to the retry policy. A response with a
 // failure status has ReasonBadResponse, because another server may not fail.
 func (h *Handler) retryAttempt(q *request, a *attempt, r *refusal, exclude []sassafrastray.BackendName) retry.Attempt {
 	end := retry.Attempt{
 		Service: q.service, Number: q.tries, Idempotent: q.route.Idempotent, Deadline: q.deadline,
-		MaxAttempts: q.route.MaxAttempts, Exclude: exclude, Result: sassafrastray.ResultUnknown, Reason: sassafrastray.ReasonBadResponse,
+		MaxAttempts: q.maxTries(), Exclude: exclude, Result: sassafrastray.ResultUnknown, Reason: sassafrastray.ReasonBadResponse,
 	}
 	if r != nil {
 		end.Result, end.Reason = r.result, r.reason
@@ -146,7 +156,7 @@
 // isRetryable reports whether the request is idempotent and the response is a
 // failure that another server may not return.
 func (h *Handler) isRetryable(q *request, a *attempt) bool {
-	return q.route.Idempotent && a.stream == nil && a.resp.StatusCode() >= fasthttp.StatusInternalServerError &&
+	return q.route.Idempotent && a.stream == nil && a.helper == "" && a.resp.StatusCode() >= fasthttp.StatusInternalServerError &&
 		a.resp.StatusCode() != fasthttp.StatusGatewayTimeout
 }
 
@@ -168,6 +178,13 @@
 		h.release(reserved)
 		return nil, notRun(sassafrastray.ReasonDeadline, "")
 	}
+	if a, r, ok := h.relay(q); ok {
+		h.release(reserved)
+		return a, r
+	}
+	if q.tries == 1 && (q.relayed == nil || q.relayed.First) {
+		h.Retries.CountRequest(q.service)
+	}
 	c, ok := placement.Choice{}, reserved != nil
 	if ok {
 		c = *reserved
@@ -202,21 +219,18 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	h.buildBackendRequest(q, req, a)
-	call := upstream.Call{
-		Address: a.choice.Server.Address, RequireFresh: !q.route.Idempotent, Deadline: q.deadline, ProgressTimeout: progressTimeout,
-		Ready: func() bool { return h.Placement.Takes(a.choice) },
-	}
-	switch {
-	case q.rest != nil:
-		call.Body, call.Size = io.MultiReader(bytes.NewReader(q.body), q.rest), q.ctx.Request.Header.ContentLength()
-	case len(q.body) > 0:
-		req.SetBodyRaw(q.body)
-	}
+	call := h.newCall(q, req, a.choice.Server.Address)
+	call.Ready = func() bool { return h.Placement.Takes(a.choice) }
 	x := h.Pool.Start(call)
 	q.attach(x)
 	end := h.limitTry(q, a, x, exclude)
+	waiting := h.Partition.Begin(a.choice.Expected)
 	a.out = x.Do(req, a.resp)
+	h.Partition.End(waiting, a.out.Answered())
 	end()
+	if a.out.Sent {
+		q.sent++
+	}
 	if a.out.Failure != upstream.None {
 		h.checkCrash(q, a)
 		return h.exchangeFailure(a)
@@ -230,6 +244,18 @@
 	return h.readResponse(q, a)
 }
 
+// newCall returns the call that sends the request's body to an address.
+func (h *Handler) newCall(q *request, req *fasthttp.Request, to netip.AddrPort) upstream.Call {
+	call := upstream.Call{Address: to, RequireFresh: !q.route.Idempotent, Deadline: q.deadline, ProgressTimeout: progressTimeout}
+	switch {
+	case q.rest != nil:
+		call.Body, call.Size = io.MultiReader(bytes.NewReader(q.body), q.rest), q.ctx.Request.Header.ContentLength()
+	case len(q.body) > 0:
+		req.SetBodyRaw(q.body)
+	}
+	return call
+}
+
 // limitTry ends the try of an idempotent request early enough for another one, if
 // at that time the retry budget has a token and another server can be reserved.
 // A VM that is stopping doesn't end a try early, since a server may be working on
@@ -237,7 +263,7 @@
 func (h *Handler) limitTry(q *request, a *attempt, x *upstream.Exchange, exclude []sassafrastray.BackendName) (end func()) {
 	left := q.deadline.Sub(a.start)
 	d := max(time.Duration(tryShare*float64(left)), minTryFactor*a.choice.Expected)
-	if !q.route.Idempotent || q.tries >= q.route.MaxAttempts || !q.repeatable() || d >= left {
+	if !q.route.Idempotent || q.tries >= q.maxTries() || !q.repeatable() || d >= left {
 		return func() {}
 	}
 	exclude = append(slices.Clone(exclude), a.choice.Server.Name)
@@ -274,14 +300,20 @@
 
 // buildBackendRequest fills req with the request that a backend server receives.
 func (h *Handler) buildBackendRequest(q *request, req *fasthttp.Request, a *attempt) {
+	h.copyRequest(q, req)
+	if q.team != "" {
+		req.Header.Set(h.Dialect.Team, string(q.team))
+	}
+	req.Header.Set(h.Dialect.Expect, string(a.choice.Server.Name))
+}
+
+// copyRequest fills req with the header of the caller's request, without its key, and with
+// the time that is left.
+func (h *Handler) copyRequest(q *request, req *fasthttp.Request) {
 	q.ctx.Request.Header.CopyTo(&req.Header)
 	d := &req.Header
 	cleanRequestHeader(d)
 	d.SetRequestURIBytes(q.ctx.Request.Header.RequestURI())
-	if q.team != "" {
-		d.Set(h.Dialect.Team, string(q.team))
-	}
-	d.Set(h.Dialect.Expect, string(a.choice.Server.Name))
 	d.Set(h.Dialect.Deadline, h.Dialect.FormatDeadline(q.deadline.Sub(h.Clock.Now())))
 }
 
@@ -356,15 +388,21 @@
 	}
 	h.Placement.Done(a.choice, end, took, load)
 	if a.resp != nil && end != placement.Wrong {
-		h.reportLimit(a, r == nil)
-		h.reportLeaving(a)
-		h.reportPause(a)
+		h.reportWords(a, r == nil)
 	}
-	if counts {
+	if counts && (r == nil || h.Partition.HeardSince(a.start)) {
 		h.Rollouts.Observe(q.service, q.route.Name, a.choice.Server.Version, seen)
 	}
 }
 
+// reportWords reports what the server says of itself in its response. Ran means that the
+// request has run.
+func (h *Handler) reportWords(a *attempt, ran bool) {
+	h.reportLimit(a, ran)
+	h.reportLeaving(a)
+	h.reportPause(a)
+}
+
 // reportLeaving reports that the server said in its response that it leaves.
 func (h *Handler) reportLeaving(a *attempt) {
 	if slices.ContainsFunc(a.resp.Header.PeekAll(h.Dialect.Leaving), h.Dialect.ParseLeaving) {
--- a/internal/traffic/ingress/serve_test.go
+++ b/internal/traffic/ingress/serve_test.go
@@ -43,6 +43,9 @@
 		calls []uint64
 	}
 
+	// reachesAll is the Partition of a VM that reaches all servers.
+	reachesAll struct{}
+
 	// allowAll implements Quotas, Retries, Rollouts and Pauses. It admits every request,
 	// and has no rollouts. It allows retries of requests that are idempotent or
 	// have not run, up to the route's limit on attempts or, for tries that no server
@@ -69,13 +72,24 @@
 	p.ends = append(p.ends, e)
 }
 
-func (p *serverList) Takes(placement.Choice) bool        { return true }
-func (p *serverList) SetLimit(placement.Choice, float64) {}
-func (p *serverList) EndLimit(placement.Choice)          {}
+func (p *serverList) Takes(placement.Choice) bool                      { return true }
+func (p *serverList) Named(sassafrastray.BackendName) placement.Choice { return placement.Choice{} }
+func (p *serverList) SetLimit(placement.Choice, float64)               {}
+func (p *serverList) EndLimit(placement.Choice)                        {}
 
 func (p *serverList) SetLeaving(placement.Choice)              {}
 func (p *serverList) SetPause(placement.Choice, time.Duration) {}
 
+func (reachesAll) Partitioned() bool            { return false }
+func (reachesAll) Release(sassafrastray.VMName) {}
+func (reachesAll) Begin(time.Duration) uint64   { return 0 }
+func (reachesAll) End(uint64, bool)             {}
+func (reachesAll) HeardSince(time.Time) bool    { return true }
+func (reachesAll) Reaches(netip.AddrPort) bool  { return true }
+func (reachesAll) Helper([2][]sassafrastray.RegionName, []sassafrastray.VMName) (vm sassafrastray.VM, ok bool) {
+	return vm, false
+}
+
 func (allowAll) Take(sassafrastray.TeamName) ratelimit.Verdict { return ratelimit.Verdict{OK: true} }
 func (allowAll) Refund(sassafrastray.TeamName)                 {}
 func (allowAll) Await() uint64                                 { return 0 }
@@ -173,6 +187,8 @@
 			},
 		},
 		Pool:      upstream.New(sassafrastray.SystemClock{}, upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second, MaxIdlePerAddress: 4, IDHeader: "Id"}),
+		Relays:    upstream.New(sassafrastray.SystemClock{}, upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Second, MaxIdlePerAddress: 4, IDHeader: "Id"}),
+		Partition: reachesAll{},
 		Placement: p, Quotas: allowAll{}, Retries: allowAll{}, Rollouts: allowAll{}, Quarantine: allowAll{}, Splits: split.New(), Disconnects: disconnect.New(),
 		Metrics: entry.NewMetrics(prometheus.NewRegistry()), Pauses: allowAll{},
 	})
--- a/internal/traffic/placement/pause.go
+++ b/internal/traffic/placement/pause.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"sassafrastray"
+)
 
 // maxPause bounds a pause that a server names, so that none is left out for good.
 const maxPause = 10 * time.Minute
@@ -44,5 +48,15 @@
 	return s == nil || t.servers[s.Name] == s && !s.leaves() && !s.evacuated && !s.isPaused(now)
 }
 
+// Named returns a choice of the server with a name, which is not counted as a request
+// there. It has no server if there is none of that name.
+func (t *Table) Named(name sassafrastray.BackendName) Choice {
+	s := t.servers[name]
+	if s == nil {
+		return Choice{Server: sassafrastray.BackendServer{Name: name}}
+	}
+	return Choice{Server: s.BackendServer, server: s}
+}
+
 // isPaused reports whether the server wants no requests of this VM now.
 func (s *server) isPaused(now time.Time) bool { return now.Before(s.pausedUntil) }
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -309,7 +309,7 @@
 	wait, reason := noServerRetryAfter, None
 	resumes, others := time.Time{}, false
 	for region, list := range svc.servers {
-		if !allowed(r.Regions, region) {
+		if !sassafrastray.InRegions(r.Regions, region) {
 			continue
 		}
 		for _, s := range list {
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -13,7 +13,11 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"time"
 
 	"sassafrastray"
@@ -210,6 +214,46 @@
 	}
 }
 
+// ForgetFailures forgets how requests failed at the servers, because this VM could not
+// reach any of them.
+func (t *Table) ForgetFailures(now time.Time) {
+	for _, s := range t.servers {
+		s.forgetFailures(now)
+	}
+}
+
+// Sample returns the addresses of up to n random servers other than the one at an address,
+// of as many failure domains as possible, those of the VM's own region first.
+func (t *Table) Sample(n int, except netip.AddrPort) []netip.AddrPort {
+	byDomain := make(map[sassafrastray.DomainName][]*server)
+	for _, name := range slices.Sorted(maps.Keys(t.servers)) {
+		if s := t.servers[name]; !s.leaves() && !s.evacuated && s.Address != except {
+			byDomain[s.Domain] = append(byDomain[s.Domain], s)
+		}
+	}
+	domains := slices.Sorted(maps.Keys(byDomain))
+	t.rng.Shuffle(len(domains), func(i, j int) { domains[i], domains[j] = domains[j], domains[i] })
+	slices.SortStableFunc(domains, func(a, b sassafrastray.DomainName) int {
+		return cmp.Compare(t.distance(t.opt.Regions[a]), t.distance(t.opt.Regions[b]))
+	})
+	var out []netip.AddrPort
+	for len(out) < n && len(byDomain) > 0 {
+		for _, d := range domains {
+			list := byDomain[d]
+			if len(list) == 0 {
+				delete(byDomain, d)
+				continue
+			}
+			if len(out) < n {
+				i := t.rng.IntN(len(list))
+				out = append(out, list[i].Address)
+				byDomain[d] = slices.Delete(list, i, i+1)
+			}
+		}
+	}
+	return out
+}
+
 // Events returns the events since the last call, the oldest first. Events
 // beyond maxEvents are dropped.
 func (t *Table) Events() []Event {
--- a/internal/traffic/placement/rank.go
+++ b/internal/traffic/placement/rank.go
@@ -14,7 +14,7 @@
 	var localServers, remoteServers []*server
 	for region, list := range svc.servers {
 		switch {
-		case !allowed(r.Regions, region):
+		case !sassafrastray.InRegions(r.Regions, region):
 		case region == t.opt.Region:
 			localServers = list
 		default:
@@ -43,15 +43,6 @@
 	return t.opt.Domain
 }
 
-func allowed(rules [2][]sassafrastray.RegionName, region sassafrastray.RegionName) bool {
-	for _, list := range rules {
-		if len(list) > 0 && !slices.Contains(list, region) {
-			return false
-		}
-	}
-	return true
-}
-
 // rankServers ranks servers by expected time. near is the failure domain of the
 // preferred ones, or empty. assumeKnown says that the object's
 // requests usually go to these servers, so that the preferred one is assumed to
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -234,6 +234,15 @@
 	}
 }
 
+// forgetFailures makes the server usable as if no request had failed there.
+func (s *server) forgetFailures(now time.Time) {
+	s.decay(now)
+	s.failureRate, s.slowness, s.timeouts = 0, 1, 0
+	if s.block > 0 && !s.isPaused(now) {
+		s.block, s.blockedUntil, s.trial = 0, time.Time{}, false
+	}
+}
+
 func (s *server) blockFrom(now time.Time) {
 	s.block = min(maxBlock, max(minBlock, 2*s.block))
 	s.blockedUntil = now.Add(s.block)
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -99,6 +99,11 @@
 	}
 )
 
+// Answered reports whether any response arrived.
+func (o *Outcome) Answered() bool {
+	return o.Failure == None || o.Failure == Crossed || o.Failure == Malformed
+}
+
 // pastDeadline makes reads and writes of a connection fail at once.
 var pastDeadline = time.Unix(1, 0)
 
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -63,6 +63,9 @@
 		// MaxDiscarded is how many responses to other requests an exchange may
 		// discard before the one that belongs to its request.
 		MaxDiscarded int
+		// Dialed, if set, is called after each attempt to open a connection, with the
+		// time when it began.
+		Dialed func(to netip.AddrPort, from time.Time, err error)
 		// AllowUnframed accepts responses without a length, which end with their
 		// connection.
 		AllowUnframed bool
@@ -206,6 +209,9 @@
 		return nil, errors.New("dial: deadline passed")
 	}
 	nc, err := d.Dial("tcp", address.String())
+	if p.opt.Dialed != nil {
+		p.opt.Dialed(address, now, err)
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
--- a/region.go
+++ b/region.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -42,3 +43,13 @@
 		Region RegionName   `json:"region"`
 	}
 )
+
+// InRegions reports whether every rule allows the region. An empty rule allows all.
+func InRegions(rules [2][]RegionName, r RegionName) bool {
+	for _, list := range rules {
+		if len(list) > 0 && !slices.Contains(list, r) {
+			return false
+		}
+	}
+	return true
+}
