--- a/internal/fleet/edge/message_test.go
+++ b/internal/fleet/edge/message_test.go
@@ -180,3 +180,24 @@
 		exercise(v)
 	})
 }
+
+// TestDeepMessages sends messages that are nested very deeply, as a whole or in a field
+// that no VM knows. None may end the process.
+func TestDeepMessages(t *testing.T) {
+	for _, depth := range []int{40_000, 1_000_000} {
+		for _, nested := range []string{
+			strings.Repeat("[", depth) + strings.Repeat("]", depth),
+			`{"note":` + strings.Repeat(`{"a":`, depth) + "1" + strings.Repeat("}", depth) + "}",
+			`{"vm":` + strings.Repeat("[", depth) + strings.Repeat("]", depth) + "}",
+			strings.Repeat(`{"a":`, depth),
+		} {
+			for _, path := range []string{gossip.HeartbeatPath, gossip.CopyPath, gossip.UpdatePath, gossip.MemoryPath} {
+				v := newQuietVM(t)
+				if status := deliver(v, path, []byte(nested)); status == fasthttp.StatusInternalServerError {
+					t.Errorf("%s, depth %d, %.10s: status %d", path, depth, nested, status)
+				}
+				exercise(v)
+			}
+		}
+	}
+}
--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -179,8 +179,8 @@
 
 // applyChange updates all components after a change of the replica.
 func (v *VM) applyChange(c replica.Change, now time.Time) {
-	for _, e := range c.Unreadable {
-		v.log.Warn("an entry of the store can't be read", "name", e.Name, "revision", e.Revision, "fault", e.DecodeError)
+	for _, e := range c.Unreadable[:min(len(c.Unreadable), maxLoggedNames)] {
+		v.log.Warn("an entry of the store can't be read", "name", e.Name, "revision", e.Revision, "fault", e.DecodeError, "count", len(c.Unreadable))
 	}
 	for _, e := range c.Outdated[:min(len(c.Outdated), maxLoggedNames)] {
 		v.log.Info("an entry of the store is older than the known one", "name", e.Name, "revision", e.Revision)
