Send all keep-alive probes within the user timeout

Cause: where a user timeout is set it decides when probes give up, whatever their count: of four probes after 5 s only the first was sent before the 6 s.

Ruled out: the connections to the store (probes at 1 and 2 s, timeout 3 s) and those of callers (Go's listener sets no user timeout).

Change: three probes, a second apart, after 3 s, which is the timeout of 6 s.

Conclusion: one lost packet no longer ends a connection that is alive.

--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -39,9 +39,10 @@
 	// kernel closes the connection.
 	userTimeout = 6 * time.Second
 
-	keepAliveIdle     = 5 * time.Second
+	// The user timeout also ends keep-alive probes, so all of them are sent within it.
+	keepAliveIdle     = 3 * time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 4
+	keepAliveCount    = 3
 )
 
 type (
