Heed what a server says of itself from the head of its answer

Cause: the headers were evaluated when the whole answer had been read, which takes as long as the server sends.

Ruled out: answers without a body or with a short one; there the two moments fall together.

Change: leaving, pause and limit count when the head is read, for answers through other VMs too. A limit still ends only with a whole answer that names none.

Conclusion: nothing waits for a body to learn what the head says.

--- a/internal/traffic/ingress/recheck_test.go
+++ b/internal/traffic/ingress/recheck_test.go
@@ -1,9 +1,14 @@
 package ingress
 
 import (
+	"bufio"
+	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -107,3 +112,78 @@
 		}
 	}
 }
+
+// TestLeavingIsKnownFromTheHead guards against requests that are sent to a backend server
+// after the head of one of its answers said that it leaves, while the body still comes.
+func TestLeavingIsKnownFromTheHead(t *testing.T) {
+	var mu sync.Mutex
+	arrivals := 0
+	head := make(chan struct{})
+	ln := newListener(t)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				var req fasthttp.Request
+				if req.Read(r) != nil {
+					return
+				}
+				mu.Lock()
+				arrivals++
+				first := arrivals == 1
+				mu.Unlock()
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nServer-Leaving: 1\r\nContent-Length: 4\r\n\r\n", req.Header.Peek("Id"))
+				if first {
+					close(head)
+				}
+				time.Sleep(500 * time.Millisecond)
+				fmt.Fprint(conn, "done")
+			}()
+		}
+	}()
+	leaving := sassafrastray.BackendServer{Name: "a", Service: "s", Address: netip.MustParseAddrPort(ln.Addr().String()), Slots: 4, Version: "v1"}
+	other := sassafrastray.BackendServer{Name: "b", Service: "s", Address: newBackend(t, 50*time.Millisecond, 200).address, Slots: 4, Version: "v1"}
+	servers := newTable([]sassafrastray.BackendServer{leaving})
+	h := newHandler(nil)
+	h.Placement = servers
+	address := serveHandler(t, h)
+	var callers sync.WaitGroup
+	send := func(id string) {
+		req, err := http.NewRequest("GET", "http://"+address.String()+"/read/x", nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		req.Host = "h"
+		req.Header.Set("Id", id)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		resp.Body.Close()
+		if resp.StatusCode != 200 {
+			t.Errorf("%s: status %d", id, resp.StatusCode)
+		}
+	}
+	callers.Go(func() { send("first") })
+	<-head
+	time.Sleep(50 * time.Millisecond)
+	servers.mu.Lock()
+	servers.Update([]sassafrastray.BackendServer{leaving, other}, nil, time.Now())
+	servers.mu.Unlock()
+	for i := range 8 {
+		callers.Go(func() { send(fmt.Sprint("r", i)) })
+	}
+	callers.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	if arrivals != 1 {
+		t.Errorf("%d requests reached the server that leaves, want 1", arrivals)
+	}
+}
--- a/internal/traffic/ingress/relay.go
+++ b/internal/traffic/ingress/relay.go
@@ -127,8 +127,11 @@
 		return a, r
 	}
 	a.choice = h.Placement.Named(res.Backend)
+	h.reportWords(a)
 	r := h.readResponse(q, a)
+	if r == nil {
+		h.endLimit(a)
+	}
 	h.durations.record(q.route.Name, h.Clock.Now().Sub(a.start))
-	h.reportWords(a, r == nil)
 	return a, r
 }
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -235,7 +235,13 @@
 		h.checkCrash(q, a)
 		return h.exchangeFailure(a)
 	}
-	if len(a.resp.Header.Peek(h.Dialect.NotRun)) > 0 || a.resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
+	misdirected := a.resp.StatusCode() == fasthttp.StatusMisdirectedRequest
+	notExecuted := misdirected || len(a.resp.Header.Peek(h.Dialect.NotRun)) > 0
+	if !misdirected {
+		// The body may take long, and what the server says of itself holds from now on.
+		h.reportWords(a)
+	}
+	if notExecuted {
 		// The response states that the backend server did not run the request.
 		h.discard(a)
 		return notRun(sassafrastray.ReasonShed, string(a.choice.Server.Name))
@@ -387,18 +393,17 @@
 		end, seen = placement.Failed, rollout.Late
 	}
 	h.Placement.Done(a.choice, end, took, load)
-	if a.resp != nil && end != placement.Wrong {
-		h.reportWords(a, r == nil)
+	if r == nil {
+		h.endLimit(a)
 	}
 	if counts && (r == nil || h.Partition.HeardSince(a.start)) {
 		h.Rollouts.Observe(q.service, q.route.Name, a.choice.Server.Version, seen)
 	}
 }
 
-// reportWords reports what the server says of itself in its response. Ran means that the
-// request has run.
-func (h *Handler) reportWords(a *attempt, ran bool) {
-	h.reportLimit(a, ran)
+// reportWords reports what the server says of itself in the head of its response.
+func (h *Handler) reportWords(a *attempt) {
+	h.reportLimit(a)
 	h.reportLeaving(a)
 	h.reportPause(a)
 }
@@ -431,12 +436,10 @@
 }
 
 // reportLimit reports the limit that the server named in its response. If it named
-// several, the lowest binds. Only a response to a request that ran ends the limit by
-// naming none; a value that can't be read changes nothing.
-func (h *Handler) reportLimit(a *attempt, ran bool) {
-	values := a.resp.Header.PeekAll(h.Dialect.Limit)
+// several, the lowest binds; a value that can't be read changes nothing.
+func (h *Handler) reportLimit(a *attempt) {
 	lowest, readable := 0.0, false
-	for _, b := range values {
+	for _, b := range a.resp.Header.PeekAll(h.Dialect.Limit) {
 		n, ok := h.Dialect.ParseLimit(b)
 		if !ok {
 			h.Log.Warn(message.LimitUnreadable, "backend", a.choice.Server.Name, "value", string(b))
@@ -446,10 +449,15 @@
 			lowest, readable = n, true
 		}
 	}
-	switch {
-	case readable:
+	if readable {
 		h.Placement.SetLimit(a.choice, lowest)
-	case ran && len(values) == 0:
+	}
+}
+
+// endLimit ends the server's limit after a whole response to a request that ran, if that
+// names none.
+func (h *Handler) endLimit(a *attempt) {
+	if len(a.resp.Header.PeekAll(h.Dialect.Limit)) == 0 {
 		h.Placement.EndLimit(a.choice)
 	}
 }
