--- a/internal/operator/trace/cause.go
+++ b/internal/operator/trace/cause.go
@@ -15,10 +15,10 @@
 		return "The line about the request's end is missing: it was left out or lost, or the VM died."
 	}
 	if end.Message == message.Answered {
-		return fmt.Sprintf("Answered with status %d by %s after %d tries in %v.%s",
-			end.number("status"), end.text("backend"), end.number("tries"), end.duration("took").Round(time.Millisecond), e.failedTries())
+		return fmt.Sprintf("Answered with status %d by %s after %d tries in %v.%s%s",
+			end.number("status"), end.text("backend"), end.number("tries"), end.duration("took").Round(time.Millisecond), end.through(), e.failedTries())
 	}
-	parts := []string{end.refusal(e.backend())}
+	parts := []string{end.refusal(e.backend()) + end.through()}
 	if e.hasBelief(message.StoreUnreachable) {
 		parts = append(parts, "The VM did not reach the store, so what it knew of backend servers and teams may have been old.")
 	}
@@ -54,6 +54,14 @@
 	return nil
 }
 
+// through says through which VM the request went, if it did not go straight.
+func (l *Line) through() string {
+	if vm := l.text("through"); vm != "" {
+		return fmt.Sprintf(" It was relayed to %s, since the VM was partitioned from all backend servers.", vm)
+	}
+	return ""
+}
+
 func (e *Explanation) hasBelief(message string) bool {
 	for i := range e.Steps {
 		if e.Steps[i].Message == message && e.Steps[i].Role == RoleBelief {
@@ -131,7 +139,13 @@
 	case "path":
 		return status + fmt.Sprintf("configuration %d has no route for the host and path.", l.number("config"))
 	case "stale":
+		if l.text("through") != "" {
+			return status + "the other VM has another configuration, and no further one took the request."
+		}
 		return status + "the VM had no configuration yet."
+	case "vm":
+		return status + fmt.Sprintf("no other VM took the request (%s); the caller was told to come back after %v.",
+			detail, l.duration("wait").Round(time.Millisecond))
 	case "body":
 		return status + "the body was longer than the configuration allows."
 	}
--- a/internal/operator/trace/explanation.go
+++ b/internal/operator/trace/explanation.go
@@ -147,6 +147,7 @@
 		c.add(c.last(own, withMessage(message.StoreCopyReceived)), RoleBelief)
 	}
 	c.addOpenState(own, message.Draining, message.Serving)
+	c.addOpenState(own, message.PartitionBegun, message.PartitionEnded)
 	c.add(c.last(own, withMessage(message.VMStalled)), RoleBelief)
 	if service != "" {
 		c.add(c.last(own, func(l *Line) bool { return l.Message == message.Rollout && l.text("service") == service }), RoleBelief)
