--- a/internal/fleet/replica/update_test.go
+++ b/internal/fleet/replica/update_test.go
@@ -178,3 +178,26 @@
 		}
 	}
 }
+
+// TestRemovalOfANewReadIsSeen guards against a removal that another VM never learns of: a
+// watcher that read the topic again finds an entry gone, its update is lost, and nothing
+// else changes afterwards.
+func TestRemovalOfANewReadIsSeen(t *testing.T) {
+	h := &history{current: map[string]sassafrastray.Entry{}}
+	h.change("a", false)
+	h.change("b", false)
+	w, peer := &watcher{r: New(Options{})}, New(Options{})
+	w.apply(h.complete(), start)
+	peer.Apply(h.complete(), start)
+	h.change("a", true)
+	w.reread(h, start)
+	if peer.RevisionsBehind(0, w.r.Latest()) == 0 {
+		t.Error("the other VM does not see that it lacks a change")
+	}
+	for _, b := range w.r.NewerTopics(peer.Held(0), start) {
+		peer.ApplyFromPeer(b, start)
+	}
+	if got := names(peer); len(got) != 1 {
+		t.Errorf("knows %v, want b", got)
+	}
+}
