--- a/internal/fleet/edge/partition.go
+++ b/internal/fleet/edge/partition.go
@@ -188,24 +188,32 @@
 	v.sendHeartbeatsTo(v.members.UrgentTargets(), now)
 }
 
-// updateHelpers updates the VMs that could serve this VM's requests if it is partitioned.
+// updateHelpers updates the VMs that can serve this VM's requests while it is partitioned.
 // Each VM has them in an order of its own, so that the requests of several are spread.
 func (v *VM) updateHelpers(now time.Time) {
-	var helpers []relay.Helper
+	if !v.partition.Partitioned() {
+		return
+	}
+	type ranked struct {
+		relay.Helper
+		rank uint64
+	}
+	var list []ranked
 	for _, m := range v.members.View(now) {
 		h := v.heartbeats[m.VM.Name]
 		if h == nil || !h.Ready || h.Partitioned || m.Suspect || m.VM.State != sassafrastray.VMLive {
 			continue
 		}
-		region := v.opt.Regions[m.VM.Domain]
-		helper := relay.Helper{VM: m.VM, Region: region}
-		if region != v.opt.Region {
-			helper.Distance = max(1, v.roundTrips[region])
+		r := ranked{relay.Helper{VM: m.VM, Region: v.opt.Regions[m.VM.Domain]}, xxhash.Sum64String(string(v.self.Name + " " + m.VM.Name))}
+		if r.Region != v.opt.Region {
+			r.Distance = max(1, v.roundTrips[r.Region])
 		}
-		helpers = append(helpers, helper)
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	helpers := make([]relay.Helper, len(list))
+	for i := range list {
+		helpers[i] = list[i].Helper
 	}
-	slices.SortFunc(helpers, func(a, b relay.Helper) int {
-		return cmp.Compare(xxhash.Sum64String(string(v.self.Name+a.VM.Name)), xxhash.Sum64String(string(v.self.Name+b.VM.Name)))
-	})
 	v.partition.setHelpers(helpers)
 }
--- a/internal/fleet/edge/partition_test.go
+++ b/internal/fleet/edge/partition_test.go
@@ -73,6 +73,7 @@
 	helps := func(v *VM) bool {
 		v.partition.partitioned.Store(true)
 		defer v.partition.partitioned.Store(false)
+		v.updateHelpers(clock.now)
 		var exclude []sassafrastray.VMName
 		for {
 			vm, ok := v.partition.Helper([2][]sassafrastray.RegionName{}, exclude)
@@ -201,8 +202,8 @@
 	}
 	var first []sassafrastray.VMName
 	for _, v := range vms {
-		v.updateHelpers(clock.now)
 		v.partition.partitioned.Store(true)
+		v.updateHelpers(clock.now)
 		vm, ok := v.partition.Helper([2][]sassafrastray.RegionName{}, nil)
 		if !ok || v.regionOf(vm) != v.opt.Region {
 			t.Fatalf("%s has the helper %v", v.self.Name, vm)
