Release what a request holds if its exchange fails unexpectedly

Callers would see more probes and an uneven spread. Found by reading; no run showed it.

Change: both are released when the functions return, however they do.

Measured: go test -race ./internal/traffic/ingress passes.

--- a/internal/traffic/ingress/relay.go
+++ b/internal/traffic/ingress/relay.go
@@ -71,7 +71,6 @@
 		}
 		q.helper = vm.Name
 		a, r = h.relayTo(q, vm)
-		h.Partition.Release(vm.Name)
 		q.choice = a.choice
 		if r == nil || !refusedByVM(r) || !q.repeatable() {
 			return a, r, true
@@ -92,8 +91,9 @@
 	return r.reason == sassafrastray.ReasonVM || r.reason == sassafrastray.ReasonStaleConfig || r.reason == sassafrastray.ReasonLeaving
 }
 
-// relayTo sends the request to one helper.
+// relayTo sends the request to one helper, which is released when its answer begins.
 func (h *Handler) relayTo(q *request, vm sassafrastray.VM) (*attempt, *refusal) {
+	defer h.Partition.Release(vm.Name)
 	a := &attempt{start: h.Clock.Now(), resp: fasthttp.AcquireResponse(), helper: vm.Name}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -224,9 +224,7 @@
 	x := h.Pool.Start(call)
 	q.attach(x)
 	end := h.limitTry(q, a, x, exclude)
-	waiting := h.Partition.Begin(a.choice.Expected)
-	a.out = x.Do(req, a.resp)
-	h.Partition.End(waiting, a.out.Answered())
+	h.await(a, x, req)
 	end()
 	if a.out.Sent {
 		q.sent++
@@ -250,6 +248,15 @@
 	return h.readResponse(q, a)
 }
 
+// await waits for the server's response.
+func (h *Handler) await(a *attempt, x *upstream.Exchange, req *fasthttp.Request) {
+	answered := false
+	id := h.Partition.Begin(a.choice.Expected)
+	defer func() { h.Partition.End(id, answered) }()
+	a.out = x.Do(req, a.resp)
+	answered = a.out.Answered()
+}
+
 // newCall returns the call that sends the request's body to an address.
 func (h *Handler) newCall(q *request, req *fasthttp.Request, to netip.AddrPort) upstream.Call {
 	call := upstream.Call{Address: to, RequireFresh: !q.route.Idempotent, Deadline: q.deadline, ProgressTimeout: progressTimeout}
