--- a/internal/traffic/ingress/recheck_test.go
+++ b/internal/traffic/ingress/recheck_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -85,17 +84,9 @@
 				}
 				h := newHandler(nil)
 				h.Placement, h.Retries = p, policy{retry.New(rand.New(rand.NewPCG(1, 2)), retry.Defaults())}
-				var ctx fasthttp.RequestCtx
-				server, client := net.Pipe()
-				defer server.Close()
-				defer client.Close()
-				ctx.Init2(server, nil, false)
-				ctx.Request.Header.SetRequestURI(path)
-				ctx.Request.Header.SetHost("h")
-				ctx.Request.Header.Set("Id", "r1")
-				h.Handle(&ctx)
-				if got := ctx.Response.StatusCode(); got != 200 {
-					t.Errorf("status %d: %s", got, ctx.Response.Body())
+				resp := callOnce(t, h, path)
+				if got := resp.StatusCode(); got != 200 {
+					t.Errorf("status %d: %s", got, resp.Body())
 				}
 				for i, b := range backends {
 					want := 0
--- a/internal/traffic/ingress/relay_test.go
+++ b/internal/traffic/ingress/relay_test.go
@@ -74,8 +74,8 @@
 	p.words = append(p.words, fmt.Sprint("limit=", n))
 }
 
-// update gives the handler a configuration with routes of a team and a public one.
-func update(h *Handler, number int64) {
+// useTeamRoutes gives the handler a configuration with routes of a team and a public one.
+func useTeamRoutes(h *Handler, number int64) {
 	targets := []sassafrastray.Target{{Service: "s", Weight: 1}}
 	c := &sassafrastray.Config{
 		Number: number,
@@ -203,7 +203,7 @@
 	}
 	h := newHandler(nil)
 	h.Partition, h.Placement, h.Quotas = s.partition, s.placement, s.tokens
-	update(h, 1)
+	useTeamRoutes(h, 1)
 	s.address = serveHandler(t, h)
 	return s
 }
@@ -280,7 +280,7 @@
 			}
 		}
 	}
-	update(h, number)
+	useTeamRoutes(h, number)
 	s.partition.helpers = append(s.partition.helpers, vm)
 }
 
@@ -327,10 +327,10 @@
 	t.Helper()
 	helper := newHandler(nil)
 	helper.Placement = anyServer{sassafrastray.BackendServer{Name: "a", Service: "s", Address: server}}
-	update(helper, 1)
+	useTeamRoutes(helper, 1)
 	h := newHandler(nil)
 	h.Partition = &cutOff{helpers: []sassafrastray.VM{{Name: "vm-1", PeerAddress: serveInner(t, helper)}}}
-	update(h, 1)
+	useTeamRoutes(h, 1)
 	stop := make(chan struct{})
 	t.Cleanup(func() { close(stop) })
 	for _, w := range []*disconnect.Watcher{h.Disconnects, helper.Disconnects} {
@@ -478,7 +478,7 @@
 func TestMalformedRelays(t *testing.T) {
 	h := newHandler(nil)
 	h.Placement = anyServer{sassafrastray.BackendServer{Name: "a", Service: "s", Address: newBackend(t, 0, 200).address}}
-	update(h, 1)
+	useTeamRoutes(h, 1)
 	address := serveInner(t, h)
 	for _, c := range []struct {
 		header string
--- a/internal/traffic/ingress/serve_test.go
+++ b/internal/traffic/ingress/serve_test.go
@@ -201,6 +201,24 @@
 	return h
 }
 
+// callOnce lets the handler handle a request of the team and returns the response.
+func callOnce(t *testing.T, h *Handler, path string) *fasthttp.Response {
+	t.Helper()
+	server, client := net.Pipe()
+	t.Cleanup(func() {
+		server.Close()
+		client.Close()
+	})
+	var ctx fasthttp.RequestCtx
+	ctx.Init2(server, nil, false)
+	ctx.Request.Header.SetRequestURI(path)
+	ctx.Request.Header.SetHost("h")
+	ctx.Request.Header.Set("Id", "r1")
+	ctx.Request.Header.Set("Key", teamKey)
+	h.Handle(&ctx)
+	return &ctx.Response
+}
+
 // TestSecondTry checks that a slow first try is ended for another one only if the
 // request is idempotent, another server can be reserved and the VM is not
 // stopping, that a failed one is retried only where that is allowed, and that
