--- a/internal/fleet/edge/partition.go
+++ b/internal/fleet/edge/partition.go
@@ -22,10 +22,13 @@
 const reachServers = 2
 
 // lockedPartition lets request handlers and the control goroutine share the detection of a
-// partition and the choice of helpers. Probe is called to start a probe.
+// partition and the choice of helpers.
 type lockedPartition struct {
-	clock  sassafrastray.Clock
-	probe  func()
+	clock sassafrastray.Clock
+	// probe starts a probe, which ends with endProbe. It must not block.
+	probe func()
+	// sample returns the addresses of up to n servers other than the one at except, and
+	// dial reports whether a connection to a server opens.
 	sample func(n int, except netip.AddrPort) []netip.AddrPort
 	dial   func(to netip.AddrPort) bool
 
