--- a/review/platform/client.go
+++ b/review/platform/client.go
@@ -67,6 +67,10 @@
 	return w.receive(c, id)
 }
 
+// settle waits for longer than stable-window-ms, so that VMs that have just started are in
+// touch.
+func settle() { time.Sleep(5 * time.Second) }
+
 // warmUp waits until requests of the team are served. A VM that has just started divides
 // the team's rate among more VMs than there are.
 func (w *world) warmUp(v *vm) {
--- a/review/platform/descriptors.go
+++ b/review/platform/descriptors.go
@@ -33,6 +33,7 @@
 	w.configure(ordersRow, openRow)
 	w.limit = strconv.Itoa(descriptors)
 	v := w.startVM(1)
+	settle()
 	w.warmUp(v)
 	n := kept
 	if !trouble {
--- a/review/platform/reload.go
+++ b/review/platform/reload.go
@@ -25,6 +25,7 @@
 	w.configure(ordersRow)
 	v := w.startVM(1)
 	w.startVM(2)
+	settle()
 	w.warmUp(v)
 	var channels []net.Conn
 	for i := range callers {
--- a/review/platform/truncated.go
+++ b/review/platform/truncated.go
@@ -13,6 +13,10 @@
 	sentBytes  = 40000
 
 	photos = 20
+
+	// leaveAfter is when a client leaves that doesn't stay: the pages give it half of the
+	// objective of 400 ms. Three in ten leave, the largest share of the site file.
+	leaveAfter = 150 * time.Millisecond
 )
 
 // truncatedUploads sends photos from clients that leave in the middle of the body, and
@@ -24,6 +28,7 @@
 	w.startServer("i-order-1", "orders", 50*time.Millisecond)
 	w.configure(ordersRow, photosRow)
 	vms := []*vm{w.startVM(1), w.startVM(2)}
+	settle()
 	for _, v := range vms {
 		w.warmUp(v)
 	}
@@ -33,14 +38,14 @@
 		body := randomBody(photoBytes)
 		bodies[id] = body
 		w.note("client sends %s, body %d bytes %s", id, len(body), digest(body))
-		if !trouble {
+		if !trouble || i%10 >= 3 {
 			w.send(vms[i%2], "photos.example", "/photos/"+id, id, teamKey, body)
 			continue
 		}
 		c := w.dial(vms[i%2])
 		_, _ = io.WriteString(c, head("photos.example", "/photos/"+id, id, teamKey, fmt.Sprintf("Content-Length: %d", len(body))))
 		_, _ = c.Write(body[:sentBytes])
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(leaveAfter)
 		_ = c.Close()
 		w.note("client of %s leaves after %d of %d bytes", id, sentBytes, len(body))
 	}
