Log which missing entries are kept, and how many changes the store repeats

The lines of a VM could not tell whether a server that was removed was not heard of yet or was kept, for how long and because of which outage, nor how many changes came a second time. No behaviour changes.

go test ./internal/fleet/replica ./internal/fleet/edge passes.

--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -188,6 +188,13 @@
 	for _, e := range c.Outdated[:min(len(c.Outdated), maxLoggedNames)] {
 		v.log.Info("an entry of the store is older than the known one", "name", e.Name, "revision", e.Revision)
 	}
+	for _, k := range c.Kept[:min(len(c.Kept), maxLoggedNames)] {
+		v.log.Info("an entry that the store lacks is kept", "topic", k.Topic, "name", k.Name, "way", from.way, "from", from.peer,
+			"outage", now.Sub(k.Outage), "for", k.Until.Sub(now), "count", len(c.Kept))
+	}
+	if c.Repeated > 0 {
+		v.log.Info("the store repeated changes that are known", "count", c.Repeated)
+	}
 	if c.Config {
 		v.prepareConfig(from, now)
 	}
--- a/internal/fleet/replica/entry.go
+++ b/internal/fleet/replica/entry.go
@@ -85,6 +85,7 @@
 	if now.Before(until) {
 		if t.missing[entry].IsZero() {
 			t.missing[entry] = until
+			c.Kept = append(c.Kept, Kept{name, entry, t.recoveredAt, until})
 			// A rollout without an entry has no revision.
 			c.Rollouts = c.Rollouts || name == sassafrastray.TopicRollouts
 		}
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -53,6 +53,18 @@
 		// Unreadable holds the entries that could not be decoded, Outdated those that
 		// are older than the known ones.
 		Unreadable, Outdated []sassafrastray.Entry
+		// Kept holds the missing entries that are kept for a while.
+		Kept []Kept
+		// Repeated is the number of changes that the replica had already.
+		Repeated int
+	}
+
+	// Kept is an entry that the store lacks and the replica keeps until a time, since it
+	// may have expired during an outage that ended at Outage.
+	Kept struct {
+		Topic         sassafrastray.Topic
+		Name          string
+		Outage, Until time.Time
 	}
 
 	// Replica is a copy of the store's topics.
@@ -231,7 +243,15 @@
 	if t.loaded && b.Era > t.at.Era {
 		t.recoveredAt, t.eraAt = now, now
 	}
-	return r.apply(t, b, now)
+	repeated := 0
+	for _, e := range b.Entries {
+		if !b.Complete && e.Revision <= t.at.Revision {
+			repeated++
+		}
+	}
+	c := r.apply(t, b, now)
+	c.Repeated = repeated
+	return c
 }
 
 // LimitEra makes the store's answers in the era count again for topics whose entries came
