--- a/internal/fleet/replica/era_test.go
+++ b/internal/fleet/replica/era_test.go
@@ -19,8 +19,15 @@
 // TestEras runs the scripts of the data file. It guards against taking the store's history
 // for one line: after a return to an older copy new entries had lower revisions than the
 // known ones and were dropped, and servers that had left were used again.
-func TestEras(t *testing.T) {
-	a, err := txtar.ParseFile("testdata/eras.txtar")
+func TestEras(t *testing.T) { runEraScripts(t, "eras.txtar") }
+
+// TestRepeatedChangesReplaceNothing guards against changes that another VM's copy had already:
+// repeated by the store, they brought back servers and orders that were gone, and removed
+// later ones.
+func TestRepeatedChangesReplaceNothing(t *testing.T) { runEraScripts(t, "repeated.txtar") }
+
+func runEraScripts(t *testing.T, file string) {
+	a, err := txtar.ParseFile("testdata/" + file)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -16,8 +16,14 @@
 var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
 
 // TestReplica runs the scripts of the data file against a replica.
-func TestReplica(t *testing.T) {
-	a, err := txtar.ParseFile("testdata/replica.txtar")
+func TestReplica(t *testing.T) { runScripts(t, "replica.txtar") }
+
+// TestRemovedServersLeaveInTime guards against requests to a backend server whose removal the
+// store acknowledged right after an outage.
+func TestRemovedServersLeaveInTime(t *testing.T) { runScripts(t, "removals.txtar") }
+
+func runScripts(t *testing.T, file string) {
+	a, err := txtar.ParseFile("testdata/" + file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,12 +84,21 @@
 			b.Entries = append(b.Entries, entry(t, b.Revision, w))
 		}
 		s.r.ApplyFromPeer(b, s.now)
-	case "whole", "part", "peer":
+	case "whole", "part", "peer", "copy":
 		b := sassafrastray.Batch{Topic: sassafrastray.TopicBackends, Revision: number(t, words[1]), Complete: words[0] != "part"}
-		for _, w := range words[2:] {
+		entries := words[2:]
+		if words[0] == "copy" {
+			// A copy of another VM, and how long ago the store became reachable for it.
+			var err error
+			if b.SinceOutage, err = time.ParseDuration(words[2]); err != nil {
+				t.Fatal(err)
+			}
+			entries = words[3:]
+		}
+		for _, w := range entries {
 			b.Entries = append(b.Entries, entry(t, b.Revision, w))
 		}
-		if words[0] == "peer" {
+		if words[0] == "peer" || words[0] == "copy" {
 			s.r.ApplyFromPeer(b, s.now)
 		} else {
 			s.r.Apply(b, s.now)
@@ -97,6 +112,9 @@
 		s.r.Apply(sassafrastray.Batch{Topic: sassafrastray.TopicConfig, Revision: 99, Entries: []sassafrastray.Entry{
 			{Name: "main", Revision: 99, DecodeError: "can't be read"},
 		}}, s.now)
+	case "watching":
+	case "answer":
+		s.r.Apply(sassafrastray.Batch{Topic: sassafrastray.TopicRollouts}, s.now)
 	case "fail":
 		s.r.RecordFailure(sassafrastray.TopicBackends, s.now)
 	case "wait":
