Don't let older changes of the store replace later ones of a copy

What callers saw: after an outage a VM uses servers again that had left and were removed, drops servers that had registered again, and takes back or forgets rollouts and evacuations, until the store's history has been repeated to its end; with the grace after an outage servers stay for over two seconds more.

Cause: a VM that can't reach the store gets copies from other VMs, but its watch goes on from its own position, and a read may have begun before a copy came. ApplyFromPeer drops changes up to the replica's position, Apply compared only entries that are present, by their own revision, and removals not at all.

Ruled out: configurations, which have numbers of their own (TestRepeatedChangesReplaceNothing/configuration held before).

Change: a batch of the store loses the changes that the replica has, and a complete one that is older than its position is dropped. Forwarded batches are reduced in the same way.

--- a/internal/fleet/replica/peer.go
+++ b/internal/fleet/replica/peer.go
@@ -16,6 +16,7 @@
 	if t == nil {
 		return b
 	}
+	b = t.withoutRepeated(b)
 	b.After = max(t.latest, t.readAt)
 	if !b.Complete {
 		b.Entries = latestEntries(b.Entries)
@@ -68,9 +69,7 @@
 	if t == nil || t.loaded && !b.Position().After(t.at) || !b.Complete && !r.HasChangesBefore(b) {
 		return Change{}
 	}
-	if !b.Complete {
-		b.Entries = slices.DeleteFunc(slices.Clone(b.Entries), func(e sassafrastray.Entry) bool { return e.Revision <= t.at.Revision })
-	}
+	b = t.withoutRepeated(b)
 	if b.SinceOutage > 0 {
 		t.recoveredAt = now.Add(-b.SinceOutage)
 		if t.loaded && b.Era > t.at.Era {
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -243,17 +243,30 @@
 	if t.loaded && b.Era > t.at.Era {
 		t.recoveredAt, t.eraAt = now, now
 	}
-	repeated := 0
-	for _, e := range b.Entries {
-		if !b.Complete && e.Revision <= t.at.Revision {
-			repeated++
-		}
-	}
+	n := len(b.Entries)
+	b = t.withoutRepeated(b)
 	c := r.apply(t, b, now)
-	c.Repeated = repeated
+	c.Repeated = n - len(b.Entries)
 	return c
 }
 
+// withoutRepeated returns a batch without the changes that the topic has already: they came
+// from another VM, and an older one must not replace a later one. A complete batch that was
+// read before those changes has nothing that the topic lacks.
+func (t *topic) withoutRepeated(b sassafrastray.Batch) sassafrastray.Batch {
+	if !t.loaded || b.Era != t.at.Era {
+		return b
+	}
+	if b.Complete {
+		if b.Revision < t.at.Revision {
+			b.Complete, b.Entries = false, nil
+		}
+		return b
+	}
+	b.Entries = slices.DeleteFunc(slices.Clone(b.Entries), func(e sassafrastray.Entry) bool { return e.Revision <= t.at.Revision })
+	return b
+}
+
 // LimitEra makes the store's answers in the era count again for topics whose entries came
 // from another VM with a later era, which the store has not reached.
 func (r *Replica) LimitEra(era int64) {
