Count the grace for missing servers from the last call that the store refused

Cause: after an outage a missing server is kept, since its entry may have expired. The 2.3 s for that began when the VM reached the topic again, up to 1.2 s after the store was back, and had no relation to the time within which a removal must take effect. An outage of another VM was taken over from its copy or update, also by a VM that had no trouble itself.

Change: the store was not back before the beginning of the last call that it did not answer, for whichever topic. The grace counts from there, two seconds as the platform states it, and at most MaxDrain less the time in which a removal takes effect. So a server that leaves when the store is back is dropped in time whenever the VM hears of it. Once one topic is answered the others are called at once. Only VMs that do not watch the store or can't reach it take over another VM's outage.

--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -178,12 +178,12 @@
 		ready      atomic.Bool
 		// leading reports to the watch goroutines whether this VM is the leader.
 		leading atomic.Bool
-		// watching reports whether this VM watches the store itself. resumeWatch
-		// signals the watch of a topic to start again.
+		// watching reports whether this VM watches the store itself.
 		watching atomic.Bool
 		// era is the latest era of the store that an answer of it or another VM named.
-		era         atomic.Int64
-		resumeWatch map[sassafrastray.Topic]chan struct{}
+		era atomic.Int64
+		// wake signals the follower of a topic to call the store at once.
+		wake map[sassafrastray.Topic]chan struct{}
 
 		// The control goroutine owns the fields below.
 		self        sassafrastray.VM
@@ -244,16 +244,17 @@
 	v := &VM{
 		opt: opt, clock: clock, trafficClock: trafficClock, log: log, store: store, workers: workers,
 		registry: prometheus.NewRegistry(), tasks: make(chan task, taskQueueSize),
-		self: opt.VM, incarnation: sassafrastray.Incarnation(now.UnixNano()), replica: replica.New(replica.Options{ReportInterval: opt.ReportInterval}),
+		self: opt.VM, incarnation: sassafrastray.Incarnation(now.UnixNano()), replica: replica.New(replica.Options{ReportInterval: opt.ReportInterval, MaxDrain: opt.Bounds.MaxDrain}),
 		heartbeats: make(map[sassafrastray.VMName]*gossip.Heartbeat), nextDue: make(map[string]time.Time), pauses: newPauseGuard(clock),
 		lastWrite:  make(map[sassafrastray.ServiceName]time.Time),
 		roundTrips: make(map[sassafrastray.RegionName]time.Duration), silent: make(map[sassafrastray.VMName]bool),
 		regions: newRegionSummaries(), recall: recall{needed: true}, copyFailedAt: make(map[sassafrastray.VMName]time.Time),
 	}
 	v.watching.Store(true)
-	v.resumeWatch = make(map[sassafrastray.Topic]chan struct{}, len(replica.Topics))
+	v.replica.SetWatching(true)
+	v.wake = make(map[sassafrastray.Topic]chan struct{}, len(replica.Topics))
 	for _, t := range replica.Topics {
-		v.resumeWatch[t] = make(chan struct{}, 1)
+		v.wake[t] = make(chan struct{}, 1)
 	}
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.metrics = newMetrics(v.registry)
--- /dev/null
+++ b/internal/fleet/edge/follow_test.go
@@ -0,0 +1,78 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"sassafrastray"
+	"sassafrastray/internal/fleet/replica"
+)
+
+// refusingStore is a store that refuses all calls until it serves, and notes when each topic
+// was first served.
+type refusingStore struct {
+	sassafrastray.MetadataStore
+	mu     sync.Mutex
+	serves bool
+	served map[sassafrastray.Topic]time.Time
+}
+
+// Read fails until the store serves.
+func (s *refusingStore) Read(_ context.Context, t sassafrastray.Topic, _ bool) (sassafrastray.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.serves {
+		return sassafrastray.Batch{}, sassafrastray.ErrUnavailable
+	}
+	s.served[t] = time.Now()
+	return sassafrastray.Batch{Topic: t, Revision: 50, Complete: true}, nil
+}
+
+// Watch waits until the context ends.
+func (s *refusingStore) Watch(ctx context.Context, _ sassafrastray.Topic, _ sassafrastray.Position, _ time.Duration) (sassafrastray.Batch, error) {
+	<-ctx.Done()
+	return sassafrastray.Batch{}, sassafrastray.ErrUnavailable
+}
+
+// TestAllTopicsAreReadWhenTheStoreIsBack guards against a VM that hears late of servers that
+// leave: the store answers for one topic, and the others wait for the end of their pauses.
+func TestAllTopicsAreReadWhenTheStoreIsBack(t *testing.T) {
+	const atOnce = 150 * time.Millisecond
+	list, regions := newFleet(1)
+	s := &refusingStore{served: make(map[sassafrastray.Topic]time.Time)}
+	v, err := New(Options{VM: list[0], Region: "r0", Regions: regions}, s, sassafrastray.SystemClock{}, sassafrastray.SystemClock{}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.loops.Add(1 + len(replica.Topics))
+	go v.control()
+	for _, topic := range replica.Topics {
+		go v.followTopic(topic)
+	}
+	defer v.loops.Wait()
+	defer v.stop()
+	// By then the pauses between calls have grown to their maximum.
+	time.Sleep(3 * time.Second)
+	s.mu.Lock()
+	s.serves = true
+	s.mu.Unlock()
+	time.Sleep(2 * maxBackoff)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first, last time.Time
+	delete(s.served, sassafrastray.TopicVMs)
+	for _, at := range s.served {
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	if len(s.served) != len(replica.Topics) || last.Sub(first) > atOnce {
+		t.Errorf("%d of %d topics were read within %v of the first", len(s.served), len(replica.Topics), last.Sub(first))
+	}
+}
--- a/internal/fleet/edge/region_test.go
+++ b/internal/fleet/edge/region_test.go
@@ -276,7 +276,7 @@
 			t.Errorf("watchers %v", list)
 		}
 		failed, died := vms[list[2]], list[5]
-		failed.replica.RecordFailure(sassafrastray.TopicConfig, clock.now)
+		failed.replica.RecordFailure(sassafrastray.TopicConfig, clock.now, clock.now)
 		delete(vms, died)
 		next := settle()
 		if len(next) < len(list) || !slices.Contains(next, failed.self.Name) {
--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -68,13 +68,13 @@
 		if read && !v.watching.Load() {
 			// While other VMs forward changes, the replica may become newer than the
 			// revision read here, so the topic is read again.
-			v.waitForSignal(v.resumeWatch[t])
+			v.waitForSignal(v.wake[t])
 			read = false
 			continue
 		}
 		var b sassafrastray.Batch
 		var err error
-		interrupted := false
+		interrupted, began := false, v.clock.Now()
 		if read {
 			wait := followWait
 			switch {
@@ -106,6 +106,11 @@
 		case errors.Is(err, sassafrastray.ErrCompacted):
 			v.log.Warn("the store compacted its history; reading the topic again", "topic", t, "after", after.Revision, "error", err.Error())
 			read = false
+			v.post(func(now time.Time) {
+				if v.replica.RecordAnswer(now) {
+					v.wakeFollowers(t)
+				}
+			})
 			v.sleep(rand.N(rereadSpread))
 		case interrupted:
 			// A call for another topic failed; this watch's connection may be dead
@@ -113,8 +118,8 @@
 			failed = true
 		default:
 			failed = true
-			v.post(func(now time.Time) { v.handleStoreFailure(t, err, now) })
-			v.sleep(pause/2 + rand.N(pause))
+			v.post(func(now time.Time) { v.handleStoreFailure(t, err, began, now) })
+			v.sleepOrWake(pause/2+rand.N(pause), t)
 			pause = min(maxBackoff, 2*pause)
 		}
 	}
@@ -138,6 +143,30 @@
 	}
 }
 
+// sleepOrWake waits for d, or until the follower of a topic is woken or the VM stops.
+func (v *VM) sleepOrWake(d time.Duration, topic sassafrastray.Topic) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-v.wake[topic]:
+	case <-v.ctx.Done():
+	}
+}
+
+// wakeFollowers lets the followers of all topics except one call the store at once.
+func (v *VM) wakeFollowers(except sassafrastray.Topic) {
+	for t, c := range v.wake {
+		if t == except {
+			continue
+		}
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // watchContext returns the context of a topic's watch, which cancelWatches ends.
 func (v *VM) watchContext(t sassafrastray.Topic) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(v.ctx)
@@ -145,14 +174,14 @@
 	return ctx, cancel
 }
 
-// handleStoreFailure records a failed call. On the first failure it cancels the
+// handleStoreFailure records a failed call that began at a time. On the first failure it cancels the
 // watches of the other topics, whose connections may be dead too.
-func (v *VM) handleStoreFailure(t sassafrastray.Topic, err error, now time.Time) {
+func (v *VM) handleStoreFailure(t sassafrastray.Topic, err error, began, now time.Time) {
 	if v.replica.FailingFor(now) == 0 {
 		v.log.Warn(message.StoreUnreachable, "topic", t, "error", err.Error())
 		v.cancelWatches(t)
 	}
-	v.replica.RecordFailure(t, now)
+	v.replica.RecordFailure(t, began, now)
 }
 
 // cancelWatches cancels the watches of all topics except one. They start again at
@@ -172,6 +201,9 @@
 	outage := v.replica.FailingFor(now)
 	difference, first := v.replica.Difference(b), !v.replica.Loaded(b.Topic)
 	c := v.replica.Apply(b, now)
+	if c.Returned {
+		v.wakeFollowers(b.Topic)
+	}
 	v.recordEra(b.Position(), b.Topic)
 	v.forwardUpdate(difference, c, first, now)
 	v.applyChange(c, origin{way: wayStore}, now)
--- a/internal/fleet/edge/updates.go
+++ b/internal/fleet/edge/updates.go
@@ -41,17 +41,13 @@
 	if v.watching.Swap(want) == want {
 		return
 	}
+	v.replica.SetWatching(want)
 	v.log.Info("watching the store", "watching", want)
 	if !want {
 		v.cancelWatches("")
 		return
 	}
-	for _, c := range v.resumeWatch {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
-	}
+	v.wakeFollowers("")
 }
 
 // forwardUpdate forwards a change of the store to the VMs that do not watch it. A topic
--- a/internal/fleet/replica/entry.go
+++ b/internal/fleet/replica/entry.go
@@ -6,17 +6,35 @@
 	"sassafrastray"
 )
 
+// outageGrace returns how long after an outage a missing backend server is kept: as long as
+// running ones take to register again, but no longer than one that was removed when the
+// store was back may receive requests.
+func (o Options) outageGrace() time.Duration {
+	if o.MaxDrain == 0 {
+		return registerTime
+	}
+	return min(registerTime, o.MaxDrain-removalDelay)
+}
+
 // missingUntil returns the time until which an entry of the topic that is missing, or
 // was deleted, is kept. The entries of backend servers expire during an outage; others
 // are lost only if the store returns to an older copy, and a deletion after that counts.
-func (t *topic) missingUntil(name sassafrastray.Topic, deleted bool) time.Time {
-	switch {
-	case name == sassafrastray.TopicBackends && !t.recoveredAt.IsZero():
-		return t.recoveredAt.Add(missingGrace)
-	case name != sassafrastray.TopicBackends && !deleted && !t.eraAt.IsZero():
-		return t.eraAt.Add(missingGrace)
+func (r *Replica) missingUntil(t *topic, name sassafrastray.Topic, deleted bool) time.Time {
+	var until time.Time
+	if !t.eraAt.IsZero() && (name == sassafrastray.TopicBackends || !deleted) {
+		until = t.eraAt.Add(missingGrace)
+	}
+	if name == sassafrastray.TopicBackends && !t.recoveredAt.IsZero() {
+		until = later(until, t.recoveredAt.Add(r.opt.outageGrace()))
+	}
+	return until
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return time.Time{}
+	return a
 }
 
 // putEntry stores one entry unless it is outdated. Complete tells whether it was read
--- a/internal/fleet/replica/peer.go
+++ b/internal/fleet/replica/peer.go
@@ -71,9 +71,13 @@
 	}
 	b = t.withoutRepeated(b)
 	if b.SinceOutage > 0 {
-		t.recoveredAt = now.Add(-b.SinceOutage)
-		if t.loaded && b.Era > t.at.Era {
-			t.eraAt = t.recoveredAt
+		recoveredAt := now.Add(-b.SinceOutage)
+		switch {
+		case t.loaded && b.Era > t.at.Era:
+			t.recoveredAt, t.eraAt = recoveredAt, recoveredAt
+		case !r.watching || !t.failingSince.IsZero():
+			// A VM that reaches the store knows better than another that did not.
+			t.recoveredAt = later(t.recoveredAt, recoveredAt)
 		}
 	}
 	return r.apply(t, b, now)
@@ -89,9 +93,9 @@
 	return t.at.Era > b.Era || t.newest() >= b.After && (b.Until == 0 || t.latest <= b.Until)
 }
 
-// SinceRecovery returns how long ago the store became reachable again after an
-// outage, or zero once missingGrace has passed, since missing servers then count as
-// gone.
+// SinceRecovery returns how long ago the store may have become reachable again after an
+// outage at the earliest, or zero once missingGrace has passed, since missing servers then
+// count as gone.
 func (r *Replica) SinceRecovery(t sassafrastray.Topic, now time.Time) time.Duration {
 	s := r.topics[t]
 	if s == nil || s.recoveredAt.IsZero() || now.Sub(s.recoveredAt) > missingGrace {
@@ -101,8 +105,8 @@
 }
 
 // NewerTopics returns the entries of each topic that has changes later than the
-// given revisions, for a VM that lacks them. Entries that are only kept until
-// missingGrace has passed are left out: a VM that knows them keeps them by itself, and
+// given revisions, for a VM that lacks them. Missing entries that are only kept
+// for a while are left out: a VM that knows them keeps them by itself, and
 // one that does not would not learn that they are gone.
 func (r *Replica) NewerTopics(latest map[sassafrastray.Topic]int64, now time.Time) []sassafrastray.Batch {
 	var out []sassafrastray.Batch
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -30,10 +30,17 @@
 	// missing afterwards to count as possibly expired rather than removed.
 	minOutage = time.Second
 
-	// missingGrace is how long after an outage a missing backend server is kept, and
-	// any missing entry after the store has returned to an older copy. Running servers
-	// register again within two seconds.
-	missingGrace = 2300 * time.Millisecond
+	// registerTime is how long running backend servers take to register again after an
+	// outage of the store.
+	registerTime = 2 * time.Second
+
+	// removalDelay is the time from the end of the grace for a missing backend server until
+	// the last request reaches it: the interval between two calls of Tick, and the network.
+	removalDelay = 300 * time.Millisecond
+
+	// missingGrace is how long a missing entry is kept after the store has returned to an
+	// older copy.
+	missingGrace = registerTime + 300*time.Millisecond
 
 	// furtherEra is by how many revisions a replica of an earlier era counts as behind
 	// one of a later era.
@@ -45,6 +52,9 @@
 	Options struct {
 		// ReportInterval is how often backend servers report to the store.
 		ReportInterval time.Duration
+		// MaxDrain is how long a backend server that was removed may still receive
+		// requests. Zero means unknown.
+		MaxDrain time.Duration
 	}
 
 	// Change reports which parts of the replica a batch changed.
@@ -57,10 +67,12 @@
 		Kept []Kept
 		// Repeated is the number of changes that the replica had already.
 		Repeated int
+		// Returned tells that the store answered after calls that it did not answer.
+		Returned bool
 	}
 
 	// Kept is an entry that the store lacks and the replica keeps until a time, since it
-	// may have expired during an outage that ended at Outage.
+	// may have expired during an outage that lasted until Outage or longer.
 	Kept struct {
 		Topic         sassafrastray.Topic
 		Name          string
@@ -72,6 +84,13 @@
 		opt    Options
 		topics map[sassafrastray.Topic]*topic
 		config *sassafrastray.Config
+		// watching tells that the VM watches the store itself.
+		watching bool
+		// answeredAt is when the store last answered a call. failedAt is when the latest
+		// call began that it did not answer, or zero if it has answered one since, and
+		// returnedAt is what failedAt was when an outage ended: the store was not back
+		// before that.
+		answeredAt, failedAt, returnedAt time.Time
 		// departures holds the backend servers that were seen leaving or gone, by name.
 		departures map[string]Departure
 		// progress holds the state that rollouts reached, and unwritten the names of
@@ -96,11 +115,12 @@
 		// held maps entries of the store that contradict what was known before its
 		// latest era began to the time from which they count.
 		held map[string]heldRecord
-		// heardAt is when the store last answered, failingSince is when the store was first unreachable, or zero if it is
-		// reachable.
+		// heardAt is when the store last answered, failingSince is when it was first
+		// unreachable, or zero if it is reachable.
 		heardAt, failingSince time.Time
-		// recoveredAt is when the store became reachable again after an outage or
-		// began an era, and eraAt when it began an era.
+		// recoveredAt is the earliest time at which the store may have been back after
+		// the topic's latest outage, or when it began an era, and eraAt when it began an
+		// era.
 		recoveredAt, eraAt time.Time
 	}
 
@@ -202,11 +222,29 @@
 	return r.config != nil
 }
 
-// RecordFailure records that the store could not be reached for a topic.
-func (r *Replica) RecordFailure(t sassafrastray.Topic, now time.Time) {
+// SetWatching sets whether the VM watches the store itself or relies on others that do.
+func (r *Replica) SetWatching(watching bool) { r.watching = watching }
+
+// RecordFailure records that a call for a topic, which began at a time, got no answer of the
+// store.
+func (r *Replica) RecordFailure(t sassafrastray.Topic, began, now time.Time) {
 	if s := r.topics[t]; s.failingSince.IsZero() {
 		s.failingSince = now
 	}
+	if began.After(r.answeredAt) && began.After(r.failedAt) {
+		r.failedAt = began
+	}
+}
+
+// RecordAnswer records that the store answered a call, and reports whether it did not answer
+// the calls before.
+func (r *Replica) RecordAnswer(now time.Time) (returned bool) {
+	r.answeredAt = now
+	if r.failedAt.IsZero() {
+		return false
+	}
+	r.returnedAt, r.failedAt = r.failedAt, time.Time{}
+	return true
 }
 
 // FailingFor returns the longest time for which the store has been unreachable for
@@ -236,8 +274,9 @@
 	if t == nil || t.loaded && (b.Era < t.at.Era || b.Era > t.at.Era && !b.Complete) {
 		return Change{}
 	}
+	returned := r.RecordAnswer(now)
 	if !t.failingSince.IsZero() && now.Sub(t.failingSince) > minOutage {
-		t.recoveredAt = now
+		t.recoveredAt = r.returnedAt
 	}
 	t.heardAt, t.failingSince = now, time.Time{}
 	if t.loaded && b.Era > t.at.Era {
@@ -246,7 +285,7 @@
 	n := len(b.Entries)
 	b = t.withoutRepeated(b)
 	c := r.apply(t, b, now)
-	c.Repeated = n - len(b.Entries)
+	c.Repeated, c.Returned = n-len(b.Entries), returned
 	return c
 }
 
@@ -293,7 +332,7 @@
 				// Its removal has no revision of its own by which other VMs would see
 				// that they lack it.
 				t.latest = max(t.latest, b.Revision)
-				r.removeEntry(t, b.Topic, name, t.missingUntil(b.Topic, false), now, &c)
+				r.removeEntry(t, b.Topic, name, r.missingUntil(t, b.Topic, false), now, &c)
 			}
 		}
 		clear(t.held)
@@ -305,7 +344,7 @@
 		}
 		if e.Deleted || e.DecodeError != "" && b.Topic != sassafrastray.TopicConfig {
 			delete(t.held, e.Name)
-			r.removeEntry(t, b.Topic, e.Name, t.missingUntil(b.Topic, true), now, &c)
+			r.removeEntry(t, b.Topic, e.Name, r.missingUntil(t, b.Topic, true), now, &c)
 			continue
 		}
 		r.putEntry(t, b.Topic, e, b.Complete, now, &c)
@@ -314,8 +353,7 @@
 	return c
 }
 
-// Tick removes the entries that are still missing after missingGrace, and takes those
-// that the store still shows although they contradict what was known before its latest
+// Tick removes the entries that have been missing for long enough, and takes those that the store still shows although they contradict what was known before its latest
 // era.
 func (r *Replica) Tick(now time.Time) Change {
 	var c Change
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -16,20 +16,22 @@
 var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
 
 // TestReplica runs the scripts of the data file against a replica.
-func TestReplica(t *testing.T) { runScripts(t, "replica.txtar") }
+func TestReplica(t *testing.T) { runScripts(t, "replica.txtar", Options{}) }
 
 // TestRemovedServersLeaveInTime guards against requests to a backend server whose removal the
 // store acknowledged right after an outage.
-func TestRemovedServersLeaveInTime(t *testing.T) { runScripts(t, "removals.txtar") }
+func TestRemovedServersLeaveInTime(t *testing.T) {
+	runScripts(t, "removals.txtar", Options{MaxDrain: 2 * time.Second})
+}
 
-func runScripts(t *testing.T, file string) {
+func runScripts(t *testing.T, file string, opt Options) {
 	a, err := txtar.ParseFile("testdata/" + file)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, f := range a.Files {
 		t.Run(f.Name, func(t *testing.T) {
-			s := &script{r: New(Options{}), now: start}
+			s := &script{r: New(opt), now: start}
 			for n, line := range strings.Split(strings.TrimSpace(string(f.Data)), "\n") {
 				s.line(t, n+1, strings.Fields(line))
 			}
@@ -110,10 +112,11 @@
 	case "config-bad":
 		s.config(sassafrastray.Entry{DecodeError: "can't be read"})
 	case "watching":
+		s.r.SetWatching(true)
 	case "answer":
 		s.r.Apply(sassafrastray.Batch{Topic: sassafrastray.TopicRollouts}, s.now)
 	case "fail":
-		s.r.RecordFailure(sassafrastray.TopicBackends, s.now)
+		s.r.RecordFailure(sassafrastray.TopicBackends, s.now, s.now)
 	case "wait":
 		d, err := time.ParseDuration(words[1])
 		if err != nil {
@@ -172,7 +175,7 @@
 					r.Apply(b, now)
 				}
 			case "fail":
-				r.RecordFailure(sassafrastray.TopicBackends, now)
+				r.RecordFailure(sassafrastray.TopicBackends, now, now)
 			case "tick":
 				r.Tick(now)
 			}
--- a/internal/fleet/replica/update_test.go
+++ b/internal/fleet/replica/update_test.go
@@ -154,9 +154,10 @@
 	h.change("stays", false)
 	from := New(Options{})
 	from.Apply(h.complete(), now)
-	from.RecordFailure(sassafrastray.TopicBackends, now)
+	from.RecordFailure(sassafrastray.TopicBackends, now, now)
 	h.change("gone", true)
 	now = now.Add(2 * minOutage)
+	from.RecordFailure(sassafrastray.TopicBackends, now, now)
 	from.Apply(h.complete(), now)
 	if got := names(from); len(got) != 2 {
 		t.Fatalf("after an outage the replica has %v, want both servers for a while", got)
