Ask another VM for its copy at once if the store is not reached

Cause: a VM that is behind waits 0.4 s for its own watch before it asks another VM, also if its watch is known to fail.

Change: it waits only if it reaches the store. TestCopyIsAskedAtOnceWithoutTheStore fails without the change and passes with it.

--- a/internal/fleet/edge/copy_test.go
+++ b/internal/fleet/edge/copy_test.go
@@ -59,3 +59,29 @@
 		t.Errorf("after a while the copy is asked of %v, want %s", from, list[1].Name)
 	}
 }
+
+// TestCopyIsAskedAtOnceWithoutTheStore guards against a VM that uses servers and routes which
+// are gone, since it waits for a store that it can't reach before it asks another VM.
+func TestCopyIsAskedAtOnceWithoutTheStore(t *testing.T) {
+	for _, reached := range []bool{true, false} {
+		clock := &manualClock{time.Now()}
+		list, _ := newFleet(1)
+		v := newFleetVM(t, list[0], clock)
+		v.trafficClock = sassafrastray.SystemClock{}
+		v.client = gossip.New(v.innerPool, v.trafficClock)
+		v.learnVMs(list, clock.now)
+		if !reached {
+			v.replica.RecordFailure(sassafrastray.TopicBackends, clock.now.Add(-time.Second), clock.now.Add(-time.Second))
+		}
+		other := list[1]
+		other.PeerAddress = netip.MustParseAddrPort("127.0.0.1:1")
+		v.receive(&gossip.Heartbeat{
+			VM: other, Incarnation: 1, Sequence: 1, Ready: true, StoreReachable: true,
+			Latest: map[sassafrastray.Topic]int64{sassafrastray.TopicBackends: 90},
+		}, clock.now)
+		v.checkStore(clock.now)
+		if v.copying == reached {
+			t.Errorf("store reached: %v, copy asked at once: %v", reached, v.copying)
+		}
+	}
+}
--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -319,8 +319,8 @@
 }
 
 // checkStore updates whether the VM leads and watches the store. If another VM has
-// had later changes for behindTolerance, for instance because this one can't reach
-// the store, it requests that VM's copy; after a pause it does so at once.
+// had later changes for behindTolerance, it requests that VM's copy. It does so at once
+// after a pause, and if it can't reach the store, which will not report them.
 func (v *VM) checkStore(now time.Time) {
 	failing := v.replica.FailingFor(now)
 	v.metrics.storeUnreachable.Set(failing.Seconds())
@@ -334,7 +334,8 @@
 	if v.behindSince.IsZero() {
 		v.behindSince = now
 	}
-	if v.pauses.mayLead(now) && now.Sub(v.behindSince) < behindTolerance || v.copying || !v.isDue("copy", copyInterval, now) {
+	waits := failing == 0 && v.pauses.mayLead(now) && now.Sub(v.behindSince) < behindTolerance
+	if waits || v.copying || !v.isDue("copy", copyInterval, now) {
 		return
 	}
 	if failing == 0 {
