Answer 503 instead of 404 by a configuration that is not known to be the latest

What callers saw: 404 for a route that had been added 4.8 s before, 4.0 s allowed (CONFIG, once, at a small VM of 295).

Cause: suspected, the record has no log of the VM. A VM that hears neither the store nor a VM that does has no reason to think that it is behind, and answers 404 and 401 by what it has. The same holds while its control goroutine is late, since that one told requests that the VM is behind.

Ruled out: an older word of the store that replaces a later configuration (TestRepeatedChangesReplaceNothing/configuration held before its fix).

Change: the leader watches the configuration for 1 s at a time in place of 3 s, and each VM knows and tells when its configuration was last known to be the latest. Beyond MaxApply it denies nothing; requests compare the age by themselves. A VM that becomes the leader ends its watch of 25 s, found by the test: it kept the long one until then.

--- a/internal/fleet/edge/currency.go
+++ b/internal/fleet/edge/currency.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"sync/atomic"
 	"time"
 
 	"sassafrastray"
+	"sassafrastray/internal/fleet/gossip"
 	"sassafrastray/internal/operator/message"
 )
 
@@ -31,8 +33,45 @@
 		latest int64
 		from   sassafrastray.VMName
 	}
+
+	// confirmation tells when the VM's configuration was last known to be the latest one in
+	// the store. It is safe for concurrent use: requests read it also while the control
+	// goroutine is late.
+	confirmation struct {
+		clock sassafrastray.Clock
+		at    atomic.Int64
+	}
 )
 
+// confirm records that the configuration was the latest one at a time.
+func (c *confirmation) confirm(at time.Time) {
+	for {
+		known := c.at.Load()
+		if at.UnixNano() <= known || c.at.CompareAndSwap(known, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+// age returns how long ago the configuration was last known to be the latest one.
+func (c *confirmation) age() time.Duration {
+	return c.clock.Now().Sub(time.Unix(0, c.at.Load()))
+}
+
+// confirmConfig records what a heartbeat tells of the VM's own configuration: at the time of
+// the sender's confirmation there was no later one than the sender's.
+func (v *VM) confirmConfig(h *gossip.Heartbeat, now time.Time) {
+	c := v.replica.Config()
+	if h.Confirmed <= 0 || c == nil || h.Config > c.Number {
+		return
+	}
+	arrived := h.Arrived
+	if arrived.IsZero() {
+		arrived = now
+	}
+	v.confirmation.confirm(arrived.Add(-h.Confirmed))
+}
+
 // behind returns how long another VM is known to have had a later configuration.
 func (c *currency) behind(now time.Time) time.Duration {
 	if c.since.IsZero() {
@@ -69,4 +108,14 @@
 	v.handler.SetBehind(!v.currency.since.IsZero() || v.pendingSnapshot != nil)
 	v.metrics.configBehind.Set(v.currency.behind(now).Seconds())
 	v.metrics.configWordAge.Set(now.Sub(heard).Seconds())
+	age := v.confirmation.age()
+	v.metrics.configConfirmedAge.Set(age.Seconds())
+	if unconfirmed := v.opt.Bounds.MaxApply > 0 && age > v.opt.Bounds.MaxApply; unconfirmed != v.unconfirmed {
+		v.unconfirmed = unconfirmed
+		text := message.ConfigConfirmed
+		if unconfirmed {
+			text = message.ConfigUnconfirmed
+		}
+		v.log.Warn(text, "config", own, "age", age, "word", now.Sub(heard), "watching", v.watching.Load(), "failing", v.replica.FailingFor(now))
+	}
 }
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -176,6 +176,8 @@
 		// lookupView is the view of the fleet from which look-ups are answered.
 		lookupView atomic.Pointer[lookupView]
 		ready      atomic.Bool
+		// confirmation tells when the configuration was last known to be the latest one.
+		confirmation confirmation
 		// leading reports to the watch goroutines whether this VM is the leader.
 		leading atomic.Bool
 		// watching reports whether this VM watches the store itself.
@@ -212,6 +214,8 @@
 		owners map[sassafrastray.VMName]bool
 		// currency tells whether another VM has a later configuration.
 		currency currency
+		// unconfirmed is set while the configuration was not confirmed for too long.
+		unconfirmed bool
 		// recall says what this VM asks other VMs about.
 		recall recall
 		// behindSince is when another VM was first found to have later changes of
@@ -250,6 +254,7 @@
 		roundTrips: make(map[sassafrastray.RegionName]time.Duration), silent: make(map[sassafrastray.VMName]bool),
 		regions: newRegionSummaries(), recall: recall{needed: true}, copyFailedAt: make(map[sassafrastray.VMName]time.Time),
 	}
+	v.confirmation.clock = clock
 	v.watching.Store(true)
 	v.replica.SetWatching(true)
 	v.wake = make(map[sassafrastray.Topic]chan struct{}, len(replica.Topics))
@@ -306,10 +311,11 @@
 	v.handler = ingress.New(ingress.Deps{
 		Clock: v.trafficClock, Log: v.log, Dialect: v.opt.Dialect, Region: v.opt.Region, Pool: v.pool, Relays: v.relayPool, Partition: v.partition, Cores: v.self.Cores,
 		Placement: v.placement, Quotas: v.quotas, Rollouts: v.rollouts, Quarantine: v.quarantine, Splits: v.splits, Disconnects: v.disconnects,
-		Retries: v.retries,
-		Metrics: entry.NewMetrics(v.registry),
-		Pauses:  v.pauses,
-		Memory:  v.opt.Memory, LinkBytesPerSecond: v.opt.LinkBytesPerSecond,
+		Retries:   v.retries,
+		Metrics:   entry.NewMetrics(v.registry),
+		Pauses:    v.pauses,
+		ConfigAge: v.confirmation.age, MaxConfigAge: v.opt.Bounds.MaxApply,
+		Memory: v.opt.Memory, LinkBytesPerSecond: v.opt.LinkBytesPerSecond,
 	})
 }
 
--- a/internal/fleet/edge/follow_test.go
+++ b/internal/fleet/edge/follow_test.go
@@ -37,13 +37,24 @@
 	return sassafrastray.Batch{}, sassafrastray.ErrUnavailable
 }
 
-// TestAllTopicsAreReadWhenTheStoreIsBack guards against a VM that hears late of servers that
-// leave: the store answers for one topic, and the others wait for the end of their pauses.
-func TestAllTopicsAreReadWhenTheStoreIsBack(t *testing.T) {
-	const atOnce = 150 * time.Millisecond
+// quietStore is a store in which nothing changes.
+type quietStore struct{ *recordingStore }
+
+// Watch waits and returns no changes.
+func (quietStore) Watch(ctx context.Context, t sassafrastray.Topic, after sassafrastray.Position, wait time.Duration) (sassafrastray.Batch, error) {
+	select {
+	case <-time.After(wait):
+		return sassafrastray.Batch{Topic: t, Era: after.Era, Revision: after.Revision}, nil
+	case <-ctx.Done():
+		return sassafrastray.Batch{}, sassafrastray.ErrUnavailable
+	}
+}
+
+// startFollowing starts a VM's control goroutine and followers of the store.
+func startFollowing(t *testing.T, store sassafrastray.MetadataStore) *VM {
+	t.Helper()
 	list, regions := newFleet(1)
-	s := &refusingStore{served: make(map[sassafrastray.Topic]time.Time)}
-	v, err := New(Options{VM: list[0], Region: "r0", Regions: regions}, s, sassafrastray.SystemClock{}, sassafrastray.SystemClock{}, slog.New(slog.DiscardHandler))
+	v, err := New(Options{VM: list[0], Region: "r0", Regions: regions}, store, sassafrastray.SystemClock{}, sassafrastray.SystemClock{}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,8 +63,32 @@
 	for _, topic := range replica.Topics {
 		go v.followTopic(topic)
 	}
-	defer v.loops.Wait()
-	defer v.stop()
+	t.Cleanup(func() {
+		v.stop()
+		v.loops.Wait()
+	})
+	return v
+}
+
+// TestLeaderConfirmsTheConfiguration checks that the VM that leads knows all the time that
+// there is no later configuration, though the store has no changes to report.
+func TestLeaderConfirmsTheConfiguration(t *testing.T) {
+	v := startFollowing(t, quietStore{newRecordingStore(0)})
+	time.Sleep(2 * time.Second)
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		if age := v.confirmation.age(); age > leaderWait+500*time.Millisecond {
+			t.Fatalf("the configuration was last confirmed %v ago", age)
+		}
+	}
+}
+
+// TestAllTopicsAreReadWhenTheStoreIsBack guards against a VM that hears late of servers that
+// leave: the store answers for one topic, and the others wait for the end of their pauses.
+func TestAllTopicsAreReadWhenTheStoreIsBack(t *testing.T) {
+	const atOnce = 150 * time.Millisecond
+	s := &refusingStore{served: make(map[sassafrastray.Topic]time.Time)}
+	startFollowing(t, s)
 	// By then the pauses between calls have grown to their maximum.
 	time.Sleep(3 * time.Second)
 	s.mu.Lock()
--- a/internal/fleet/edge/metrics.go
+++ b/internal/fleet/edge/metrics.go
@@ -5,20 +5,22 @@
 const namespace = "sassafrastray"
 
 type metrics struct {
-	store            *prometheus.CounterVec
-	heartbeats       *prometheus.CounterVec
-	overflow         prometheus.Counter
-	config           prometheus.Gauge
-	configInForce    prometheus.Gauge
-	configBehind     prometheus.Gauge
-	configWordAge    prometheus.Gauge
-	storeUnreachable prometheus.Gauge
-	era              prometheus.Gauge
-	quarantined      prometheus.Gauge
-	pauses           *prometheus.CounterVec
-	partitioned      prometheus.Gauge
-	quotaShare       *prometheus.GaugeVec
-	quotaTokens      *prometheus.GaugeVec
+	store         *prometheus.CounterVec
+	heartbeats    *prometheus.CounterVec
+	overflow      prometheus.Counter
+	config        prometheus.Gauge
+	configInForce prometheus.Gauge
+	configBehind  prometheus.Gauge
+	configWordAge prometheus.Gauge
+	// configConfirmedAge is the age of the VM's confirmation.
+	configConfirmedAge prometheus.Gauge
+	storeUnreachable   prometheus.Gauge
+	era                prometheus.Gauge
+	quarantined        prometheus.Gauge
+	pauses             *prometheus.CounterVec
+	partitioned        prometheus.Gauge
+	quotaShare         *prometheus.GaugeVec
+	quotaTokens        *prometheus.GaugeVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -66,6 +68,9 @@
 	m.configWordAge = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "config_word_age_seconds", Help: "Time since the store last answered a read or watch of the configuration.",
 	})
-	r.MustRegister(m.configInForce, m.configBehind, m.configWordAge, m.quotaShare, m.quotaTokens, m.partitioned, m.store, m.heartbeats, m.overflow, m.config, m.storeUnreachable, m.era, m.quarantined, m.pauses)
+	m.configConfirmedAge = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "config_confirmed_age_seconds", Help: "Time since the configuration was last known to be the latest one in the store.",
+	})
+	r.MustRegister(m.configConfirmedAge, m.configInForce, m.configBehind, m.configWordAge, m.quotaShare, m.quotaTokens, m.partitioned, m.store, m.heartbeats, m.overflow, m.config, m.storeUnreachable, m.era, m.quarantined, m.pauses)
 	return m
 }
--- a/internal/fleet/edge/region_test.go
+++ b/internal/fleet/edge/region_test.go
@@ -77,20 +77,26 @@
 // observeHeartbeats is exchangeHeartbeats and calls see with each message.
 func observeHeartbeats(vms map[sassafrastray.VMName]*VM, cut func(a, b *VM) bool, now time.Time, see func(*gossip.Heartbeat)) (messages int) {
 	for _, v := range vms {
-		for _, to := range v.members.Tick(now) {
-			o := vms[to.Name]
-			if o == nil || cut(v, o) {
-				v.members.MarkUnanswered(to.Name, now)
-				continue
-			}
-			messages++
-			request := v.addressed(v.newHeartbeat(now), to, v.heartbeats[to.Name], now)
-			see(&request)
-			o.receive(&request, now)
-			answer := o.addressed(o.newHeartbeat(now), v.self, &request, now)
-			see(&answer)
-			v.receive(&answer, now)
+		messages += sendRound(v, vms, cut, now, see)
+	}
+	return messages
+}
+
+// sendRound lets one VM exchange heartbeats with the VMs that it would send to.
+func sendRound(v *VM, vms map[sassafrastray.VMName]*VM, cut func(a, b *VM) bool, now time.Time, see func(*gossip.Heartbeat)) (messages int) {
+	for _, to := range v.members.Tick(now) {
+		o := vms[to.Name]
+		if o == nil || cut(v, o) {
+			v.members.MarkUnanswered(to.Name, now)
+			continue
 		}
+		messages++
+		request := v.addressed(v.newHeartbeat(now), to, v.heartbeats[to.Name], now)
+		see(&request)
+		o.receive(&request, now)
+		answer := o.addressed(o.newHeartbeat(now), v.self, &request, now)
+		see(&answer)
+		v.receive(&answer, now)
 	}
 	return messages
 }
--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -22,11 +22,12 @@
 
 const (
 	// followWait is how long one watch of the store waits; the platform charges for
-	// each call. A store that stopped responding may never answer a watch. So the
-	// leader watches the configuration for leaderWait only, and VMs restart their
+	// each call. A store that stopped responding may never answer a watch, and a VM has to
+	// know that its configuration is the latest one. So the leader watches the
+	// configuration for leaderWait only and tells the others, and VMs restart their
 	// watches when another VM can't reach the store or has a change that they lack.
 	followWait = 25 * time.Second
-	leaderWait = 3 * time.Second
+	leaderWait = time.Second
 
 	// coalesceTime is the pause after a change of the backend servers, so that one
 	// call returns several changes. It is well within the time in which a leaving
@@ -75,6 +76,8 @@
 		var b sassafrastray.Batch
 		var err error
 		interrupted, began := false, v.clock.Now()
+		// The answer has all changes until asOf.
+		asOf := began
 		if read {
 			wait := followWait
 			switch {
@@ -87,6 +90,9 @@
 			b, err = v.store.Watch(ctx, t, after, wait)
 			interrupted = ctx.Err() != nil
 			end()
+			if len(b.Entries) == 0 && v.clock.Now().Sub(began) >= wait {
+				asOf = began.Add(wait)
+			}
 		} else {
 			known := v.era.Load()
 			if b, err = v.store.Read(v.ctx, t, false); err == nil && b.Era < known {
@@ -97,7 +103,12 @@
 		switch {
 		case err == nil:
 			read, failed, after, pause = true, false, b.Position(), minBackoff
-			v.post(func(now time.Time) { v.applyBatch(b, now) })
+			v.post(func(now time.Time) {
+				v.applyBatch(b, now)
+				if t == sassafrastray.TopicConfig {
+					v.confirmation.confirm(asOf)
+				}
+			})
 			if t == sassafrastray.TopicBackends {
 				// Servers often start or stop together, so one call then returns
 				// several changes.
@@ -187,12 +198,18 @@
 // cancelWatches cancels the watches of all topics except one. They start again at
 // once, which shows whether the store answers.
 func (v *VM) cancelWatches(except sassafrastray.Topic) {
-	v.watchCancels.Range(func(topic, cancel any) bool {
-		if topic != except {
-			cancel.(context.CancelFunc)()
+	for _, t := range replica.Topics {
+		if t != except {
+			v.cancelWatch(t)
 		}
-		return true
-	})
+	}
+}
+
+// cancelWatch cancels the watch of one topic, which starts again at once.
+func (v *VM) cancelWatch(t sassafrastray.Topic) {
+	if cancel, ok := v.watchCancels.Load(t); ok {
+		cancel.(context.CancelFunc)()
+	}
 }
 
 // applyBatch applies a batch of the store to the replica and forwards it to other
@@ -324,7 +341,9 @@
 func (v *VM) checkStore(now time.Time) {
 	failing := v.replica.FailingFor(now)
 	v.metrics.storeUnreachable.Set(failing.Seconds())
-	v.leading.Store(v.isLeader(now))
+	if leads := v.isLeader(now); v.leading.Swap(leads) != leads && leads {
+		v.cancelWatch(sassafrastray.TopicConfig)
+	}
 	v.updateWatching(now)
 	from := v.mostAdvancedPeer(now)
 	if from == nil {
--- a/internal/operator/message/message.go
+++ b/internal/operator/message/message.go
@@ -36,6 +36,8 @@
 	Rollout           = "rollout"
 	RolloutWritten    = "rollout written"
 	ConfigBehind      = "another VM has a later configuration"
+	ConfigUnconfirmed = "the configuration is not confirmed any more"
+	ConfigConfirmed   = "the configuration is confirmed again"
 	StoreCopyReceived = "copy of the store from another VM"
 	StoreUnreachable  = "the store is not reached"
 	StoreReachable    = "the store is reached again"
--- a/internal/traffic/ingress/admit.go
+++ b/internal/traffic/ingress/admit.go
@@ -93,12 +93,18 @@
 }
 
 // deny returns the refusal of a request that the configuration does not allow. A later
-// configuration may allow it, so a VM that does not have the latest one can't tell.
+// configuration may allow it, so a VM that may not have the latest one can't tell.
 func (h *Handler) deny(reason sassafrastray.Reason) *refusal {
-	if !h.behind.Load() {
+	detail := ""
+	switch {
+	case h.behind.Load():
+		detail = "behind"
+	case h.MaxConfigAge > 0 && h.ConfigAge() > h.MaxConfigAge:
+		detail = "unconfirmed"
+	default:
 		return notRun(reason, "")
 	}
-	r := notRun(sassafrastray.ReasonStaleConfig, "behind")
+	r := notRun(sassafrastray.ReasonStaleConfig, detail)
 	r.retryAfter = behindRetryAfter
 	return r
 }
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -165,6 +165,11 @@
 		LinkBytesPerSecond float64
 		// Cores is the VM's capacity in processor cores. Zero means unknown.
 		Cores float64
+		// ConfigAge returns how long ago the configuration in force was last known to be
+		// the latest one. When that is longer than MaxConfigAge, the VM denies no request
+		// by it. A MaxConfigAge of zero means no limit.
+		ConfigAge    func() time.Duration
+		MaxConfigAge time.Duration
 	}
 
 	// Handler handles the requests of callers.
