Don't name small VMs to callers beside large ones that carry enough

What callers saw: requests at a few small VMs of a large fleet are served by what those heard late.

Cause: look-ups name the largest VMs until they have half of the region's capacity by sum. Callers choose evenly among them, so a small VM that fills up the sum gets a large one's share, and all of them together carry less than the large ones alone.

Change: the capacity of a selection is its number times its smallest VM, and half of the most that any selection reaches is enough. Minimums as before.

Result: TestSmallVMsAreNotNamedBesideLargeOnes fails before (see its cases) and passes; TestLargest is unchanged and passes.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -1,8 +1,10 @@
 // Package directory selects the VMs that a caller may use: those of its own region
 // that accept requests and reach backend servers, and others only if there are none.
 //
-// Of a region with many VMs it selects only a few, the largest ones, which have half
-// of the region's capacity. A team's rate is divided among the VMs that its callers
+// Of a region with many VMs it selects only a few, the largest ones, which carry half of
+// what its VMs can carry. Callers choose evenly among them, so a small VM beside large ones
+// gets as many requests as they do, and what all of them carry is as many times what the
+// smallest one does. A team's rate is divided among the VMs that its callers
 // use, and each VM learns the backend servers' load from its own requests, so both
 // work better when few VMs receive a region's requests.
 package directory
@@ -26,8 +28,8 @@
 	minVMs          = 8
 	minVMsPerDomain = 3
 
-	// capacityFraction is the fraction of a region's capacity that the selected VMs
-	// have together, so that they can take over the load of another region of the
+	// capacityFraction is the part of the most that VMs of a region can carry which the
+	// selected ones carry, so that they can take over the load of another region of the
 	// same size.
 	capacityFraction = 0.5
 
@@ -102,9 +104,9 @@
 	return out
 }
 
-// largest returns as many of the largest VMs as it takes to reach capacityFraction
-// and the minimum numbers, in the order of their addresses. All VMs that know the
-// same others select the same.
+// largest returns as many of the largest VMs as it takes to carry capacityFraction of the
+// most that any number of them can carry, and to reach the minimum numbers, in the order of
+// their addresses. All VMs that know the same others select the same.
 func largest(vms []VM) []VM {
 	if len(vms) <= minVMs {
 		return vms
@@ -113,23 +115,26 @@
 	slices.SortStableFunc(bySize, func(a, b VM) int {
 		return cmp.Or(cmp.Compare(b.Size, a.Size), a.Address.Compare(b.Address))
 	})
-	all := 0.0
-	for _, v := range vms {
-		all += v.Size
+	most := 0.0
+	for i, v := range bySize {
+		most = max(most, evenCapacity(i+1, v))
 	}
-	if all == 0 {
+	if most == 0 {
 		return vms
 	}
 	var out []VM
-	sum, perDomain := 0.0, make(map[sassafrastray.DomainName]int)
+	enough, perDomain := false, make(map[sassafrastray.DomainName]int)
 	for _, v := range bySize {
-		if sum >= capacityFraction*all && len(out) >= minVMs && perDomain[v.Domain] >= minVMsPerDomain {
+		if enough && len(out) >= minVMs && perDomain[v.Domain] >= minVMsPerDomain {
 			continue
 		}
 		out = append(out, v)
-		sum += v.Size
 		perDomain[v.Domain]++
+		enough = enough || evenCapacity(len(out), v) >= capacityFraction*most
 	}
 	slices.SortFunc(out, func(a, b VM) int { return a.Address.Compare(b.Address) })
 	return out
 }
+
+// evenCapacity returns the capacity of n VMs among which callers choose evenly.
+func evenCapacity(n int, smallest VM) float64 { return float64(n) * smallest.Size }
--- a/internal/fleet/directory/directory_test.go
+++ b/internal/fleet/directory/directory_test.go
@@ -119,3 +119,35 @@
 		}
 	}
 }
+
+// TestSmallVMsAreNotNamedBesideLargeOnes guards against a small VM that gets as many requests
+// as the large ones and falls behind in what it hears: a region whose large VMs carry enough
+// names no others, and one whose small VMs carry more than a few large ones names many.
+func TestSmallVMsAreNotNamedBesideLargeOnes(t *testing.T) {
+	for _, c := range []struct {
+		large, small, wantLarge, wantSmall int
+	}{{9, 94, 9, 0}, {12, 90, 9, 0}, {3, 300, 3, 60}, {0, 40, 0, 20}} {
+		var vms []VM
+		for i := range c.large + c.small {
+			v := VM{
+				Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:80", i/200, i%200)), Region: "n", Ready: true,
+				Domain: sassafrastray.DomainName(fmt.Sprint("n-", i%3)), Size: 0.1,
+			}
+			if i < c.large {
+				v.Size = 0.8
+			}
+			vms = append(vms, v)
+		}
+		large, small := 0, 0
+		for _, a := range Select(vms, "n", nil) {
+			if i := slices.IndexFunc(vms, func(v VM) bool { return v.Address == a }); i < c.large {
+				large++
+			} else {
+				small++
+			}
+		}
+		if large != c.wantLarge || small < c.wantSmall || c.wantSmall == 0 && small > 0 {
+			t.Errorf("of %d large and %d small VMs %d and %d are named, want %d and %d", c.large, c.small, large, small, c.wantLarge, c.wantSmall)
+		}
+	}
+}
