Count a confirmation of the configuration from when it was asked for

Cause: at 27.57 s front-kkc-a-4 reads heartbeats that tell of configuration 14 and were sent before 23.4 s, when 17 was in force at their senders.

Change: only the answer to a heartbeat confirms, and its age counts from when the heartbeat was sent. Rounds leave out VMs that send heartbeats themselves, so a VM with a confirmation of half the allowed age asks the leader, or any VM in a large fleet.

--- a/internal/fleet/edge/currency.go
+++ b/internal/fleet/edge/currency.go
@@ -9,6 +9,10 @@
 	"sassafrastray/internal/operator/message"
 )
 
+// confirmationInterval is the minimum interval between two heartbeats that ask for a
+// confirmation of the configuration.
+const confirmationInterval = 500 * time.Millisecond
+
 // Ways on which a VM gets what is in the store.
 const (
 	wayStore  way = "store"
@@ -59,17 +63,37 @@
 }
 
 // confirmConfig records what a heartbeat tells of the VM's own configuration: at the time of
-// the sender's confirmation there was no later one than the sender's.
-func (v *VM) confirmConfig(h *gossip.Heartbeat, now time.Time) {
-	c := v.replica.Config()
-	if h.Confirmed <= 0 || c == nil || h.Config > c.Number {
-		return
+// the sender's confirmation there was no later one than the sender's. Only an answer counts,
+// and from when it was asked for: any other message may have waited for seconds on its way
+// to a VM that is short of processor time.
+func (v *VM) confirmConfig(h *gossip.Heartbeat) {
+	if c := v.replica.Config(); h.Confirmed > 0 && !h.Asked.IsZero() && c != nil && h.Config <= c.Number {
+		v.confirmation.confirm(h.Asked.Add(-h.Confirmed))
+	}
+}
+
+// confirmingPeer returns a VM to send a heartbeat to, if the confirmation is getting old: the
+// VM that leads, or in a large fleet a random one. The VM's rounds may leave out all others,
+// since those send heartbeats to it.
+func (v *VM) confirmingPeer(now time.Time) *sassafrastray.VM {
+	if 2*v.confirmation.age() < v.opt.Bounds.MaxApply || !v.isDue("confirmation", confirmationInterval, now) {
+		return nil
 	}
-	arrived := h.Arrived
-	if arrived.IsZero() {
-		arrived = now
+	var peer *sassafrastray.VM
+	n := 0
+	for _, m := range v.members.View(now) {
+		h := v.heartbeats[m.VM.Name]
+		if h == nil || m.Suspect || !h.StoreReachable || !v.members.IsDirect(m.VM) {
+			continue
+		}
+		if !v.members.Large() {
+			return &m.VM
+		}
+		if n++; v.rng.IntN(n) == 0 {
+			peer = &m.VM
+		}
 	}
-	v.confirmation.confirm(arrived.Add(-h.Confirmed))
+	return peer
 }
 
 // behind returns how long another VM is known to have had a later configuration.
--- a/internal/fleet/edge/currency_test.go
+++ b/internal/fleet/edge/currency_test.go
@@ -114,7 +114,7 @@
 		// The other VM has heard nothing either.
 		{0, 2, 5 * time.Second, 0, fasthttp.StatusServiceUnavailable},
 		{0, 2, time.Second, 0, fasthttp.StatusNotFound},
-		// A heartbeat waits for the control goroutine.
+		// An answer waits for the control goroutine.
 		{5 * time.Second, 2, time.Second, 3 * time.Second, fasthttp.StatusServiceUnavailable},
 		{0, 1, time.Second, 0, fasthttp.StatusNotFound},
 		// The other VM has a later configuration.
@@ -124,7 +124,7 @@
 		if step.config > 0 {
 			now := v.clock.Now()
 			v.receive(&gossip.Heartbeat{
-				VM: list[3], Incarnation: 1, Sequence: uint64(i + 1), Ready: true, Config: step.config, Confirmed: step.age, Arrived: now.Add(-step.late),
+				VM: list[3], Incarnation: 1, Sequence: uint64(i + 1), Ready: true, Config: step.config, Confirmed: step.age, Asked: now.Add(-step.late),
 			}, now)
 		}
 		if got := requestUnknownRoute(v); got != step.want {
@@ -144,11 +144,12 @@
 		vms, clock := newFleetVMs(t, c.each)
 		names := slices.Sorted(maps.Keys(vms))
 		for _, v := range vms {
+			v.opt.Bounds.MaxApply = c.maxApply
 			v.replica.Apply(sassafrastray.Batch{Topic: sassafrastray.TopicConfig, Revision: 5, Complete: true, Entries: []sassafrastray.Entry{
 				{Name: "main", Revision: 5, Config: &sassafrastray.Config{Number: 7}},
 			}}, clock.now)
 		}
-		cut := notCut
+		cut, asked := notCut, 0
 		oldest := map[bool]time.Duration{}
 		const ticks = int(heartbeatInterval / tickInterval)
 		for tick := range 20 * ticks {
@@ -160,8 +161,12 @@
 				vms[names[0]].confirmation.confirm(clock.now)
 			}
 			for i, name := range names {
+				v := vms[name]
 				if i%ticks == tick%ticks {
-					sendRound(vms[name], vms, cut, clock.now, func(*gossip.Heartbeat) {})
+					sendRound(v, vms, cut, clock.now, func(*gossip.Heartbeat) {})
+				}
+				if to := v.confirmingPeer(clock.now); to != nil {
+					asked += sendTo(v, []sassafrastray.VM{*to}, vms, cut, clock.now, func(*gossip.Heartbeat) {})
 				}
 			}
 			for _, v := range vms {
@@ -172,7 +177,7 @@
 				}
 			}
 		}
-		t.Logf("%d VMs: oldest %v, cut off %v", len(vms), oldest[false], oldest[true])
+		t.Logf("%d VMs: oldest %v, cut off %v, %d heartbeats to ask", len(vms), oldest[false], oldest[true], asked)
 		if oldest[false] > c.maxApply || oldest[true] < 8*time.Second-c.maxApply {
 			t.Errorf("%d VMs: the oldest confirmation is of %v ago, %v at the VMs that are cut off", len(vms), oldest[false], oldest[true])
 		}
--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -446,6 +446,9 @@
 	}
 	v.checkStore(now)
 	v.checkCurrency(now)
+	if to := v.confirmingPeer(now); to != nil {
+		v.sendHeartbeat(*to, v.newHeartbeat(now), now)
+	}
 	v.recallMemory(now)
 	v.logSilence(now)
 	v.logQuotas(now)
--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -58,7 +58,7 @@
 func (v *VM) sendHeartbeat(to sassafrastray.VM, h *gossip.Heartbeat, now time.Time) {
 	m := v.addressed(h, to, v.heartbeats[to.Name], now)
 	v.spawn(func() {
-		sent, arrived := v.trafficClock.Now(), v.clock.Now()
+		sent, asked := v.trafficClock.Now(), v.clock.Now()
 		answer, err := v.client.Heartbeat(to.PeerAddress, &m, heartbeatTimeout)
 		if err != nil {
 			v.metrics.heartbeats.WithLabelValues("failed").Inc()
@@ -67,7 +67,7 @@
 		}
 		v.metrics.heartbeats.WithLabelValues("ok").Inc()
 		trip := v.trafficClock.Now().Sub(sent)
-		answer.Arrived = arrived
+		answer.Asked = asked
 		v.post(func(now time.Time) {
 			v.receive(answer, now)
 			v.recordRoundTrip(answer.VM, trip)
@@ -126,7 +126,6 @@
 
 // Heartbeat processes another VM's heartbeat and returns the VM's own.
 func (v *VM) Heartbeat(h *gossip.Heartbeat) *gossip.Heartbeat {
-	h.Arrived = v.clock.Now()
 	own := ask(v, func(now time.Time) *gossip.Heartbeat {
 		v.receive(h, now)
 		a := v.addressed(v.newHeartbeat(now), h.VM, h, now)
@@ -164,7 +163,7 @@
 		v.log.Info("VM heard of", "peer", h.VM.Name, "domain", h.VM.Domain, "ready", h.Ready, "config", h.Config)
 	}
 	v.silence.recordHeartbeat(h.VM.Name, now)
-	v.confirmConfig(h, now)
+	v.confirmConfig(h)
 	stored := *h
 	stored.Fleet, stored.Limits, stored.Quarantine, stored.Quotas = nil, nil, nil, nil
 	v.heartbeats[h.VM.Name] = &stored
--- a/internal/fleet/edge/region_test.go
+++ b/internal/fleet/edge/region_test.go
@@ -84,7 +84,12 @@
 
 // sendRound lets one VM exchange heartbeats with the VMs that it would send to.
 func sendRound(v *VM, vms map[sassafrastray.VMName]*VM, cut func(a, b *VM) bool, now time.Time, see func(*gossip.Heartbeat)) (messages int) {
-	for _, to := range v.members.Tick(now) {
+	return sendTo(v, v.members.Tick(now), vms, cut, now, see)
+}
+
+// sendTo lets one VM exchange heartbeats with others.
+func sendTo(v *VM, to []sassafrastray.VM, vms map[sassafrastray.VMName]*VM, cut func(a, b *VM) bool, now time.Time, see func(*gossip.Heartbeat)) (messages int) {
+	for _, to := range to {
 		o := vms[to.Name]
 		if o == nil || cut(v, o) {
 			v.members.MarkUnanswered(to.Name, now)
@@ -96,6 +101,7 @@
 		o.receive(&request, now)
 		answer := o.addressed(o.newHeartbeat(now), v.self, &request, now)
 		see(&answer)
+		answer.Asked = now
 		v.receive(&answer, now)
 	}
 	return messages
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -79,10 +79,10 @@
 		// Confirmed is how long ago Config was last known to be the latest one in the
 		// store, or zero if it never was.
 		Confirmed time.Duration `json:"confirmed,omitempty"`
-		// Arrived is when the heartbeat arrived, or its request was sent if it is an
-		// answer.
-		Arrived time.Time           `json:"-"`
-		Uses    ratelimit.TeamUsage `json:"uses,omitempty"`
+		// Asked is when the receiver sent the heartbeat that this one answers, or zero if
+		// it is not an answer.
+		Asked time.Time           `json:"-"`
+		Uses  ratelimit.TeamUsage `json:"uses,omitempty"`
 		// Quotas has what the sender lends to the receiver of the teams' quotas. It is
 		// nil in messages to VMs that are not known yet.
 		Quotas   *ratelimit.Transfer `json:"quotas,omitempty"`
