Keep the monotonic reading of a confirmation's time

A Clock's times must not be compared after a conversion to Unix time: a step of the wall clock would change the age of the confirmation under SystemClock. steer uses BootClock, which has no such step, so no caller saw this. A VM without a bound for configurations asks for no confirmation.

go test ./internal/fleet/edge -run 'Confirm|HearsNothing|Behind|AllTopics' passes, the mutation confirmation-not-asked is caught.

--- a/internal/fleet/edge/currency.go
+++ b/internal/fleet/edge/currency.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -43,7 +44,7 @@
 	// goroutine is late.
 	confirmation struct {
 		clock sassafrastray.Clock
-		at    atomic.Int64
+		at    atomic.Pointer[time.Time]
 	}
 )
 
@@ -51,15 +52,19 @@
 func (c *confirmation) confirm(at time.Time) {
 	for {
 		known := c.at.Load()
-		if at.UnixNano() <= known || c.at.CompareAndSwap(known, at.UnixNano()) {
+		if known != nil && !at.After(*known) || c.at.CompareAndSwap(known, &at) {
 			return
 		}
 	}
 }
 
-// age returns how long ago the configuration was last known to be the latest one.
+// age returns how long ago the configuration was last known to be the latest one, or the
+// longest duration if it never was.
 func (c *confirmation) age() time.Duration {
-	return c.clock.Now().Sub(time.Unix(0, c.at.Load()))
+	if at := c.at.Load(); at != nil {
+		return c.clock.Now().Sub(*at)
+	}
+	return math.MaxInt64
 }
 
 // confirmConfig records what a heartbeat tells of the VM's own configuration: at the time of
@@ -76,7 +81,7 @@
 // VM that leads, or in a large fleet a random one. The VM's rounds may leave out all others,
 // since those send heartbeats to it.
 func (v *VM) confirmingPeer(now time.Time) *sassafrastray.VM {
-	if 2*v.confirmation.age() < v.opt.Bounds.MaxApply || !v.isDue("confirmation", confirmationInterval, now) {
+	if v.opt.Bounds.MaxApply == 0 || v.confirmation.age() < v.opt.Bounds.MaxApply/2 || !v.isDue("confirmation", confirmationInterval, now) {
 		return nil
 	}
 	var peer *sassafrastray.VM
--- a/internal/fleet/edge/follow.go
+++ b/internal/fleet/edge/follow.go
@@ -169,8 +169,8 @@
 	return ctx, cancel
 }
 
-// handleStoreFailure records a failed call that began at a time. On the first failure it cancels the
-// watches of the other topics, whose connections may be dead too.
+// handleStoreFailure records a failed call that began at a time. On the first failure it
+// cancels the watches of the other topics, whose connections may be dead too.
 func (v *VM) handleStoreFailure(t sassafrastray.Topic, err error, began, now time.Time) {
 	if v.replica.FailingFor(now) == 0 {
 		v.log.Warn(message.StoreUnreachable, "topic", t, "error", err.Error())
--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -113,7 +113,7 @@
 	}
 	if c := v.replica.Config(); c != nil {
 		h.Config = c.Number
-		if v.confirmation.at.Load() > 0 {
+		if v.confirmation.at.Load() != nil {
 			h.Confirmed = max(1, v.confirmation.age())
 		}
 	}
