Show the hidden leaving servers with real processes too

Three VMs, a silence of the store of 0.25 s after a server started, and another server that leaves 5 s later: 123 to 143 requests reach it later than 2.5 s after the store's ack.

The stand-in of a backend server leaves on SIGTERM now.

Command: review/build-2.sh && review/6/run.sh

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the scripts in review/7 to review/9. The system's own program is
+# Builds the stand-ins of the scripts in review/6 to review/9. The system's own program is
 # that of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: standin2 store|upstream|cold|silence ...")
+		fmt.Fprintln(os.Stderr, "usage: standin2 store|upstream|cold|drain|silence ...")
 		os.Exit(2)
 	}
 	args := os.Args[2:]
@@ -23,6 +23,8 @@
 		runUpstream(args)
 	case "cold":
 		os.Exit(runCold(args))
+	case "drain":
+		os.Exit(runDrain(args))
 	case "silence":
 		os.Exit(runSilence(args))
 	default:
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -100,12 +100,14 @@
 	s.procs[name] = c
 }
 
-// signal sends a signal to a process.
-func (s *site) signal(name string, sig syscall.Signal) {
+// signal sends a signal to the processes whose names begin so.
+func (s *site) signal(prefix string, sig syscall.Signal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c := s.procs[name]; c != nil {
-		must(c.Process.Signal(sig))
+	for name, c := range s.procs {
+		if strings.HasPrefix(name, prefix) {
+			must(c.Process.Signal(sig))
+		}
 	}
 }
 
--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -10,9 +10,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -20,6 +22,10 @@
 	// heartbeat is how often a backend server writes its entry.
 	heartbeat = 1500 * time.Millisecond
 
+	// stayTime is how long a server that leaves goes on serving. The pages ask for
+	// drain-ms and a little longer, at times many seconds.
+	stayTime = 6 * time.Second
+
 	// reportSize is the length in bytes of a long answer.
 	reportSize = 1 << 20
 
@@ -71,8 +77,10 @@
 	u.busy = make(chan struct{}, u.slots)
 	ln, err := net.Listen("tcp", u.addr)
 	must(err)
-	u.write("start", "")
-	go u.register()
+	u.write("start", "-")
+	leave := make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGTERM)
+	go u.register(leave)
 	must(http.Serve(ln, u))
 }
 
@@ -87,23 +95,34 @@
 func (u *upstream) coldLeft() int64 { return max(0, (u.cold - time.Since(u.started)).Milliseconds()) }
 
 // register writes the server's entry at once and then with each heartbeat, and repeats a
-// call that fails.
-func (u *upstream) register() {
+// call that fails. After SIGTERM the entry says that the server leaves; it goes on serving
+// for stayTime after the store has accepted that, and ends.
+func (u *upstream) register(leave <-chan os.Signal) {
 	client := &http.Client{Timeout: 500 * time.Millisecond}
-	announced := u.coldLeft()
+	announced, state := u.coldLeft(), "ready"
 	for seq := 1; ; seq++ {
 		if announced > 0 && !u.isCold() {
 			announced = 0
 		}
 		spec := map[string]any{
-			"service": u.service, "addr": u.addr, "zone": u.zone, "version": u.version, "slots": u.slots, "state": "ready",
+			"service": u.service, "addr": u.addr, "zone": u.zone, "version": u.version, "slots": u.slots, "state": state,
 			"cold-left-ms": announced, "seq": seq, "born": u.started.UnixMilli(),
 		}
 		if err := u.call(client, spec); err != nil {
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
-		time.Sleep(heartbeat)
+		if state == "draining" {
+			u.write("draining", "-")
+			time.Sleep(stayTime)
+			u.write("end", "-")
+			os.Exit(0)
+		}
+		select {
+		case <-leave:
+			state = "draining"
+		case <-time.After(heartbeat):
+		}
 	}
 }
 
