--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # that of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -buildvcs=false -o target/review/standin2 ./review/standin2
+go build -buildvcs=false -o target/review/standin2 ./review/standin2/platform
