--- a/internal/traffic/upstream/answer_test.go
+++ b/internal/traffic/upstream/answer_test.go
@@ -64,6 +64,8 @@
 			// With a linger time of zero, Close sends a reset.
 			_ = c.(*net.TCPConn).SetLinger(0)
 			return
+		case "pause":
+			time.Sleep(2 * time.Millisecond)
 		case "hold":
 			time.Sleep(300 * time.Millisecond)
 		}
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -315,9 +315,6 @@
 	err := readHead(c.r, resp)
 	switch {
 	case err == nil:
-	case errors.Is(err, errStatus):
-		// Some of these statuses would pass for valid ones.
-		return Outcome{Failure: Malformed, Sent: true, Err: err}
 	case e.isAborted():
 		return Outcome{Failure: Aborted, Sent: true, Err: err}
 	case os.IsTimeout(c.readErr):
