Refuse answers with control bytes in the reason or another version than HTTP/1

A caller got the status line of a server in trouble as it was, with a NUL, an escape or a carriage return in its reason, or as "HTTP/9.9 200 OK". The parser takes any bytes for the reason and any two digits for the version, and both are passed on.

The status line is checked for both beside its status, before it is parsed, so that such an answer counts as malformed everywhere. HTTP/1.2, tabs, bytes above 127 and missing reasons are still accepted.

--- a/internal/traffic/head/head.go
+++ b/internal/traffic/head/head.go
@@ -1,7 +1,8 @@
-// Package head reads the heads of HTTP responses. It parses them with fasthttp
-// and refuses what that parser accepts and HTTP does not: the status 000, blanks in the names
-// of fields, folded lines, and lines that end without a carriage return. Such bytes come from
-// a server in trouble, and another reader would see other fields or another body in them.
+// Package head reads the heads of HTTP responses. It parses them with fasthttp and refuses
+// what that parser accepts and HTTP does not: the status 000, control bytes in the reason,
+// blanks in the names of fields, folded lines, and lines that end without a carriage return.
+// Such bytes come from a server in trouble, and another reader would see other fields or
+// another body in them.
 package head
 
 import (
@@ -84,13 +85,19 @@
 	}
 }
 
-// checkStatusLine returns an error unless the line has a status from 100 to 599. What else
-// is wrong with the line is left to the parser.
+// checkStatusLine returns an error unless the line has a version of HTTP/1, a status from
+// 100 to 599 and a reason without control bytes. What else is wrong with the line is left to
+// the parser.
 func checkStatusLine(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
-	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	if len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	status, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	switch {
+	case !bytes.HasPrefix(version, []byte("HTTP/1.")):
+		return errors.Newf("invalid version %.20q", version)
+	case len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]):
 		return errors.Newf("invalid status %.20q", status)
+	case bytes.ContainsFunc(reason, isControl):
+		return errors.Newf("invalid reason %.40q", reason)
 	}
 	return nil
 }
@@ -112,6 +119,9 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
+// isControl reports whether the rune is a control byte other than a tab.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 // tokenBytes has the bytes of which a name consists (RFC 9110, section 5.6.2).
 var tokenBytes = func() (t [256]bool) {
 	const punctuation = "!#$%&'*+-.^_`|~"
--- a/internal/traffic/ingress/early_end_test.go
+++ b/internal/traffic/ingress/early_end_test.go
@@ -162,7 +162,7 @@
 // TestInvalidStatuses guards against a response without a valid status that a caller gets as
 // a server's answer, directly or through another VM.
 func TestInvalidStatuses(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "600", "999", "0", "1234", "-200", "2 0", "20x"} {
+	for _, status := range []string{"000", "001", "099", "600", "999", "0", "1234", "-200", "2 0", "20x", "200 O\x00K", "200 OK\rX-Note: a", "200 \x7f"} {
 		for _, relayed := range []bool{false, true} {
 			for _, path := range []string{"/read/x", "/write/x"} {
 				t.Run(fmt.Sprintf("%q/%v%s", status, relayed, path), func(t *testing.T) {
