Refuse broken answers of the store

A VM took an answer of the store with the status 000 for one with 200, and an empty list in it for the state of the platform: no servers, no configuration. The same holds for 001 to 099 and from 600 on, and for heads with lines that are no fields.

The cause is the one that answers of servers had: the parser accepts them. The connections to the store were read by the client of fasthttp, where nothing can check a head before it is parsed, so connpool now writes and reads on its connections by itself, with package head, as upstream does. Each of its clients had one connection and repeated nothing, so only the exchange is new. What that client did is kept: an unused connection ends after 10 s, and one whose answer says so at once. Bytes after an answer now end the connection, too; they were dropped with the buffer.

A broken answer is a failed call: a read is unavailable, a write unknown.

--- a/internal/object/connpool/connpool.go
+++ b/internal/object/connpool/connpool.go
@@ -5,6 +5,7 @@
 package connpool
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -17,11 +18,15 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"sassafrastray/internal/traffic/head"
 )
 
 const (
-	// maxIdle bounds the idle connections that a pool keeps.
-	maxIdle = 8
+	// maxIdle bounds the idle connections that a pool keeps, and maxIdleTime how long it
+	// keeps one.
+	maxIdle     = 8
+	maxIdleTime = 10 * time.Second
 
 	// maxResponseBytes bounds the size of a response's body.
 	maxResponseBytes = 256 << 20
@@ -53,16 +58,20 @@
 		lastCall uint64
 	}
 
-	// clientConn is one connection and the HTTP client that uses it.
+	// clientConn is one connection with its buffers.
 	clientConn struct {
-		http fasthttp.HostClient
+		addr netip.AddrPort
+		r    *bufio.Reader
+		w    *bufio.Writer
 		// sent tells whether any byte of the current call may have been sent.
 		sent atomic.Bool
 		// mayWrite, if set, is asked before each write of the current call.
 		mayWrite func() bool
 		discards bool
-		// lastAnswered is the number of the last call that got a response.
+		// lastAnswered is the number of the last call that got a response, and answeredAt
+		// its time.
 		lastAnswered uint64
+		answeredAt   time.Time
 		// ctx ends when the connection is aborted.
 		ctx    context.Context
 		cancel context.CancelFunc
@@ -108,10 +117,7 @@
 	c, call := p.acquire()
 	c.mayWrite = mayWrite
 	stop := context.AfterFunc(ctx, c.abort)
-	err = c.http.DoTimeout(req, resp, limit)
-	if err == nil {
-		err = readBody(resp)
-	}
+	err = c.exchange(req, resp, limit)
 	if !stop() && err == nil {
 		err = errCanceled
 	}
@@ -120,28 +126,14 @@
 		p.closeUnverified(call)
 		return c.sent.Load(), errors.Wrap(err, "call store")
 	}
+	if resp.ConnectionClose() {
+		c.abort()
+		return true, nil
+	}
 	p.release(c, call)
 	return true, nil
 }
 
-// readBody reads the streamed body into the response. It requires a content
-// length, because fasthttp takes the end of the connection for the end of a body
-// without one, so a truncated body would not be noticed.
-func readBody(resp *fasthttp.Response) error {
-	n := resp.Header.ContentLength()
-	if n < 0 || n > maxResponseBytes {
-		_ = resp.CloseBodyStream()
-		return errors.Newf("response with content length %d", n)
-	}
-	b := make([]byte, n)
-	_, err := io.ReadFull(resp.BodyStream(), b)
-	if closeErr := resp.CloseBodyStream(); err == nil {
-		err = closeErr
-	}
-	resp.SetBodyRaw(b)
-	return errors.Wrap(err, "read response")
-}
-
 // acquire returns an idle connection or a new one, and the number of the call. It
 // discards the idle connections that are not reusable, for example because the
 // server has closed them.
@@ -170,7 +162,7 @@
 		c.abort()
 		return
 	}
-	c.lastAnswered = call
+	c.lastAnswered, c.answeredAt = call, time.Now()
 	p.idle = append(p.idle, c)
 }
 
@@ -203,44 +195,73 @@
 
 // newClientConn returns a clientConn whose first call opens the connection.
 func newClientConn(addr netip.AddrPort, discards bool) *clientConn {
-	c := &clientConn{discards: discards}
+	c := &clientConn{addr: addr, discards: discards}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.http = fasthttp.HostClient{
-		Addr:                      addr.String(),
-		DialTimeout:               c.dial,
-		MaxConns:                  1,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		StreamResponseBody:        true,
-		NoDefaultUserAgentHeader:  true,
-		DisablePathNormalizing:    true,
-	}
 	return c
 }
 
-func (c *clientConn) dial(addr string, limit time.Duration) (net.Conn, error) {
+// exchange writes the request and reads the response, both within limit.
+func (c *clientConn) exchange(req *fasthttp.Request, resp *fasthttp.Response, limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	if c.conn == nil {
+		if err := c.dial(limit); err != nil {
+			return err
+		}
+	}
+	if err := c.conn.SetDeadline(deadline); err != nil {
+		return errors.Wrap(err, "set deadline")
+	}
+	req.URI().DisablePathNormalizing = true
+	if err := req.Write(c.w); err != nil {
+		return errors.Wrap(err, "write request")
+	}
+	if err := c.w.Flush(); err != nil {
+		return errors.Wrap(err, "write request")
+	}
+	if err := head.Read(c.r, &resp.Header); err != nil {
+		return errors.Wrap(err, "read response")
+	}
+	return errors.Wrap(c.readBody(resp), "read response")
+}
+
+// readBody reads the body into the response. It requires a content length, because a
+// truncated body without one would not be noticed.
+func (c *clientConn) readBody(resp *fasthttp.Response) error {
+	n := resp.Header.ContentLength()
+	if n < 0 || n > maxResponseBytes {
+		return errors.Newf("response with content length %d", n)
+	}
+	b := make([]byte, n)
+	_, err := io.ReadFull(c.r, b)
+	resp.SetBodyRaw(b)
+	return err
+}
+
+// dial opens the connection.
+func (c *clientConn) dial(limit time.Duration) error {
 	d := net.Dialer{
 		Timeout: limit, Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
-	conn, err := d.DialContext(c.ctx, "tcp", addr)
+	conn, err := d.DialContext(c.ctx, "tcp", c.addr.String())
 	if err != nil {
-		return nil, errors.Wrap(err, "dial")
+		return errors.Wrap(err, "dial")
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok && c.discards {
 		if err := tcp.SetLinger(0); err != nil {
 			conn.Close()
-			return nil, errors.Wrap(err, "set linger")
+			return errors.Wrap(err, "set linger")
 		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ctx.Err() != nil {
 		conn.Close()
-		return nil, errCanceled
+		return errCanceled
 	}
 	c.conn = conn
-	return &trackedConn{conn, c}, nil
+	c.r, c.w = bufio.NewReader(conn), bufio.NewWriter(&trackedConn{conn, c})
+	return nil
 }
 
 // reusable reports whether the connection is open and has no unread data. Data on
@@ -250,7 +271,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sc, ok := c.conn.(syscall.Conn)
-	if !ok {
+	if !ok || c.r.Buffered() > 0 || time.Since(c.answeredAt) > maxIdleTime {
 		return false
 	}
 	raw, err := sc.SyscallConn()
