Read no body of the store after a status that has none

A 204 without a length, as HTTP has it, was a failed call.

Whether a status has a body is now asked of package head, by upstream and connpool.

--- a/internal/object/connpool/connpool.go
+++ b/internal/object/connpool/connpool.go
@@ -221,6 +221,9 @@
 	if err := head.Read(c.r, &resp.Header); err != nil {
 		return errors.Wrap(err, "read response")
 	}
+	if !head.HasBody(resp.StatusCode()) {
+		return nil
+	}
 	return errors.Wrap(c.readBody(resp), "read response")
 }
 
--- a/internal/object/connpool/connpool_test.go
+++ b/internal/object/connpool/connpool_test.go
@@ -121,3 +121,16 @@
 		}
 	}
 }
+
+// TestAnswersWithoutABody guards against a VM that ends, or waits for a body, because an
+// answer whose status has none says how long it would be.
+func TestAnswersWithoutABody(t *testing.T) {
+	for _, status := range []string{"204", "304"} {
+		for _, line := range []string{"", "Content-Length: 0\r\n", "Content-Length: 2\r\n"} {
+			t.Run(status+"/"+line, func(t *testing.T) {
+				t.Parallel()
+				newServer(t, "HTTP/1.1 "+status+" x\r\n"+line+"\r\n").check(t, status+" ", 1)
+			})
+		}
+	}
+}
--- a/internal/traffic/head/head.go
+++ b/internal/traffic/head/head.go
@@ -33,6 +33,12 @@
 	return errors.New("too many interim responses")
 }
 
+// HasBody reports whether a response with the status has a body. The Content-Length of one
+// without is not the length of what follows.
+func HasBody(status int) bool {
+	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
 // checkHead checks the lines of the next head without consuming them. An error of the
 // connection, and a head larger than the buffer, are left to the parser.
 func checkHead(r *bufio.Reader) error {
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"sassafrastray/internal/traffic/head"
 )
 
 // Failures of an exchange. Together with Outcome.Sent they tell the caller whether
@@ -337,7 +339,7 @@
 		return Outcome{Failure: Crossed, Sent: true, Err: err}
 	}
 	c.peerIdleTimeout = keepAliveTimeout(resp)
-	if !e.pool.opt.AllowUnframed && !resp.SkipBody && resp.Header.ContentLength() == unframedLength && bodyAllowed(resp.StatusCode()) {
+	if !e.pool.opt.AllowUnframed && !resp.SkipBody && resp.Header.ContentLength() == unframedLength && head.HasBody(resp.StatusCode()) {
 		return Outcome{Failure: Malformed, Sent: true, Err: errors.New("response has neither a length nor chunked encoding")}
 	}
 	return Outcome{Sent: true}
@@ -349,7 +351,7 @@
 	keep := !raw.ConnectionClose() && !req.ConnectionClose()
 	raw.Header.CopyTo(&resp.Header)
 	size := raw.Header.ContentLength()
-	if raw.SkipBody || raw.BodyStream() == nil || !bodyAllowed(raw.StatusCode()) {
+	if raw.SkipBody || raw.BodyStream() == nil || !head.HasBody(raw.StatusCode()) {
 		resp.SkipBody = raw.SkipBody
 		fasthttp.ReleaseResponse(raw)
 		e.release(c, keep)
--- a/internal/traffic/upstream/head.go
+++ b/internal/traffic/upstream/head.go
@@ -17,7 +17,7 @@
 	if err := head.Read(r, &resp.Header); err != nil {
 		return err
 	}
-	if resp.SkipBody || !bodyAllowed(resp.StatusCode()) {
+	if resp.SkipBody || !head.HasBody(resp.StatusCode()) {
 		return nil
 	}
 	return resp.ReadBody(r, 0)
@@ -35,8 +35,3 @@
 	}
 	return 0
 }
-
-// bodyAllowed reports whether a response with the status has a body.
-func bodyAllowed(status int) bool {
-	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
-}
--- a/internal/traffic/upstream/owner.go
+++ b/internal/traffic/upstream/owner.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"sassafrastray/internal/traffic/head"
 )
 
 const (
@@ -75,7 +77,7 @@
 // discardResponse reads the rest of a response that belongs to another request. It
 // returns false if the connection can't be used afterwards.
 func (e *Exchange) discardResponse(c *conn, resp *fasthttp.Response) bool {
-	size, hasBody := resp.Header.ContentLength(), bodyAllowed(resp.StatusCode())
+	size, hasBody := resp.Header.ContentLength(), head.HasBody(resp.StatusCode())
 	if hasBody && (size == unframedLength || size > maxDiscardedBytes) || resp.ConnectionClose() {
 		return false
 	}
