Take no broken answer of a VM for a page of it

The commands status, where, lookup and publish read pages of VMs with the client of fasthttp, whose parser takes the status 000 for 200 and accepts lines that are no fields. publish took the page in such an answer as the word that a configuration is in force on a VM.

They read them with connpool now, which checks heads, through one function. The text of a failed call names the address in place of "call store".

--- a/cmd/sassafrastray/lookup.go
+++ b/cmd/sassafrastray/lookup.go
@@ -42,7 +42,7 @@
 	if c.Explain {
 		q.Set(lookup.ParamExplain, "1")
 	}
-	body, err := get(context.Background(), "http://"+c.VM.String()+lookup.Path+"?"+q.Encode())
+	body, err := get(context.Background(), c.VM, lookup.Path+"?"+q.Encode())
 	if err != nil {
 		return err
 	}
--- a/cmd/sassafrastray/publish.go
+++ b/cmd/sassafrastray/publish.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 
 	"sassafrastray/internal/object/store"
 	"sassafrastray/internal/operator/config"
@@ -140,32 +139,13 @@
 // fetchStatus reads a VM's status page.
 func fetchStatus(ctx context.Context, vm netip.AddrPort) (publish.Status, error) {
 	var s publish.Status
-	body, err := get(ctx, "http://"+vm.String()+statusPath)
+	body, err := get(ctx, vm, statusPath)
 	if err != nil {
 		return s, err
 	}
 	return s, errors.Wrap(json.Unmarshal(body, &s), "status")
 }
 
-// get fetches a page.
-func get(ctx context.Context, url string) ([]byte, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(url)
-	limit := requestTimeout
-	if d, ok := ctx.Deadline(); ok {
-		limit = min(limit, time.Until(d))
-	}
-	if err := fasthttp.DoTimeout(req, resp, limit); err != nil {
-		return nil, errors.Wrapf(err, "get %s", url)
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, errors.Newf("get %s: status %d: %s", url, resp.StatusCode(), resp.Body())
-	}
-	return append([]byte(nil), resp.Body()...), nil
-}
-
 func (c *publishCmd) operator() string {
 	if c.Operator != "" {
 		return c.Operator
--- a/cmd/sassafrastray/status.go
+++ b/cmd/sassafrastray/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -36,7 +37,7 @@
 
 // Run prints the status.
 func (c statusCmd) Run(std *streams) error {
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+c.VM.String()+"/status", statusTimeout)
+	code, body, err := fetch(context.Background(), c.VM, statusPath, statusTimeout)
 	if err != nil {
 		return errors.Wrapf(err, "status of %v", c.VM)
 	}
--- a/cmd/sassafrastray/where.go
+++ b/cmd/sassafrastray/where.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -74,7 +75,7 @@
 	if c.Left != 0 {
 		q.Set(edge.ParamLeft, c.Left.String())
 	}
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+c.VM.String()+edge.WherePath+"?"+q.Encode(), requestTimeout)
+	code, body, err := fetch(context.Background(), c.VM, edge.WherePath+"?"+q.Encode(), requestTimeout)
 	if err != nil {
 		return errors.Wrapf(err, "ask %v", c.VM)
 	}
--- a/internal/object/connpool/connpool.go
+++ b/internal/object/connpool/connpool.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		c.abort()
 		p.closeUnverified(call)
-		return c.sent.Load(), errors.Wrap(err, "call store")
+		return c.sent.Load(), errors.Wrapf(err, "call %v", p.addr)
 	}
 	if resp.ConnectionClose() {
 		c.abort()
