--- a/internal/traffic/head/head.go
+++ b/internal/traffic/head/head.go
@@ -17,6 +17,16 @@
 // maxInterim is the number of interim responses that are skipped before a response.
 const maxInterim = 100
 
+// tokenBytes has the bytes of which a name consists (RFC 9110, section 5.6.2).
+var tokenBytes = func() (t [256]bool) {
+	const punctuation = "!#$%&'*+-.^_`|~"
+	for c := range t {
+		b := byte(c)
+		t[c] = isDigit(b) || 'a' <= b|0x20 && b|0x20 <= 'z' || bytes.IndexByte([]byte(punctuation), b) >= 0
+	}
+	return t
+}()
+
 // Read reads the head of the next response that is not an interim one.
 func Read(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for range maxInterim + 1 {
@@ -76,16 +86,20 @@
 			if err != nil {
 				return
 			}
-			for end := bytes.IndexByte(b[at:], '\n') + 1; end > 0; end = bytes.IndexByte(b[at:], '\n') + 1 {
-				line, ok := bytes.CutSuffix(b[at:at+end], []byte("\r\n"))
+			for {
+				size := bytes.IndexByte(b[at:], '\n') + 1
+				if size == 0 {
+					break
+				}
+				line, ok := bytes.CutSuffix(b[at:at+size], []byte("\r\n"))
 				if !ok {
-					yield(nil, errors.Newf("line ends without CRLF: %.40q", b[at:at+end]))
+					yield(nil, errors.Newf("line ends without CRLF: %.40q", b[at:at+size]))
 					return
 				}
 				if !yield(line, nil) {
 					return
 				}
-				at += end
+				at += size
 			}
 		}
 	}
@@ -127,13 +141,3 @@
 
 // isControl reports whether the rune is a control byte other than a tab.
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
-
-// tokenBytes has the bytes of which a name consists (RFC 9110, section 5.6.2).
-var tokenBytes = func() (t [256]bool) {
-	const punctuation = "!#$%&'*+-.^_`|~"
-	for c := range t {
-		b := byte(c)
-		t[c] = isDigit(b) || 'a' <= b|0x20 && b|0x20 <= 'z' || bytes.IndexByte([]byte(punctuation), b) >= 0
-	}
-	return t
-}()
