Log calls that the store leaves unanswered, and the age of its last answers

Only the first failed call of an outage was logged, without the time that it had waited.

A call that fails after a wait is logged with its topic, its revision and its wait, and a new metric has the age of the store's last answer for each topic.

--- a/internal/fleet/edge/follow.go
+++ b/internal/fleet/edge/follow.go
@@ -113,6 +113,7 @@
 			failed = true
 		default:
 			failed = true
+			v.logUnanswered(t, after, err, v.clock.Now().Sub(began))
 			v.post(func(now time.Time) { v.handleStoreFailure(t, err, began, now) })
 			v.sleepOrWake(pause/2+rand.N(pause), t)
 			pause = min(maxBackoff, 2*pause)
@@ -169,6 +170,14 @@
 	return ctx, cancel
 }
 
+// logUnanswered logs a call for a topic that failed after a wait. Calls that the store
+// refused fail at once.
+func (v *VM) logUnanswered(t sassafrastray.Topic, after sassafrastray.Position, err error, waited time.Duration) {
+	if waited > probeWait {
+		v.log.Warn(message.StoreUnanswered, "topic", t, "revision", after.Revision, "waited", waited, "error", err.Error())
+	}
+}
+
 // handleStoreFailure records a failed call that began at a time. On the first failure it
 // cancels the watches of the other topics, whose connections may be dead too.
 func (v *VM) handleStoreFailure(t sassafrastray.Topic, err error, began, now time.Time) {
--- a/internal/fleet/edge/metrics.go
+++ b/internal/fleet/edge/metrics.go
@@ -12,6 +12,7 @@
 	configInForce prometheus.Gauge
 	configBehind  prometheus.Gauge
 	configWordAge prometheus.Gauge
+	storeWordAge  *prometheus.GaugeVec
 	// configConfirmedAge is the age of the VM's confirmation.
 	configConfirmedAge prometheus.Gauge
 	storeUnreachable   prometheus.Gauge
@@ -78,9 +79,12 @@
 	m.configWordAge = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "config_word_age_seconds", Help: "Time since the store last answered a read or watch of the configuration.",
 	})
+	m.storeWordAge = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "store_word_age_seconds", Help: "Time since the store last answered a read or watch of a topic that was read.",
+	}, []string{"topic"})
 	m.configConfirmedAge = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "config_confirmed_age_seconds", Help: "Time since the configuration was last known to be the latest one in the store.",
 	})
-	r.MustRegister(m.runs, m.badRuns, m.configConfirmedAge, m.configInForce, m.configBehind, m.configWordAge, m.quotaShare, m.quotaTokens, m.partitioned, m.store, m.heartbeats, m.overflow, m.config, m.storeUnreachable, m.era, m.quarantined, m.pauses)
+	r.MustRegister(m.runs, m.badRuns, m.configConfirmedAge, m.storeWordAge, m.configInForce, m.configBehind, m.configWordAge, m.quotaShare, m.quotaTokens, m.partitioned, m.store, m.heartbeats, m.overflow, m.config, m.storeUnreachable, m.era, m.quarantined, m.pauses)
 	return m
 }
--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -157,6 +157,11 @@
 func (v *VM) checkStore(now time.Time) {
 	failing := v.replica.FailingFor(now)
 	v.metrics.storeUnreachable.Set(failing.Seconds())
+	for _, t := range replica.Topics {
+		if at := v.replica.HeardAt(t); !at.IsZero() {
+			v.metrics.storeWordAge.WithLabelValues(string(t)).Set(now.Sub(at).Seconds())
+		}
+	}
 	if leads := v.isLeader(now); v.leading.Swap(leads) != leads && leads {
 		v.cancelWatch(sassafrastray.TopicConfig)
 	}
--- a/internal/operator/message/message.go
+++ b/internal/operator/message/message.go
@@ -40,6 +40,7 @@
 	ConfigConfirmed   = "the configuration is confirmed again"
 	StoreCopyReceived = "copy of the store from another VM"
 	StoreUnreachable  = "the store is not reached"
+	StoreUnanswered   = "the store left a call unanswered"
 	StoreReachable    = "the store is reached again"
 	StoreReturned     = "the store has returned to an older copy"
 	VMSilent          = "VM not heard of any more"
