Renew watches that the store never answers

Cause: a watch of the store waits for 25 s, and one whose answer is lost looks like one of a store in which nothing changes. All VMs begin a watch within 0.1 s, 0.3 s after a change of the servers, so a short silence takes them all. Only the watch of the configuration by the VM that leads is short (1 s); a silence between two of its answers makes no call fail, so no VM renews its watches, and none is ahead of the others. The same holds for rollouts and evacuations, and for the answers of watches that a change ends in the silence, whatever their begin.

One VM of the fleet, or of each region of a large one, now watches all topics for 2 s at a time: it notices a lost answer of any topic within 2.8 s. Heartbeats tell for 5 s how long ago a call failed, and VMs renew the watches that they began before then. So far they told only whether the store is failing at that moment, which lasts some 0.3 s after a lost answer and was mostly over before the next heartbeat. A role that changes while a watch begins is not missed any more.

--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -173,8 +173,8 @@
 		ctx         context.Context
 		stop        context.CancelFunc
 		loops       sync.WaitGroup
-		// watchCancels maps each topic to the function that cancels its watch.
-		watchCancels sync.Map
+		// watches maps each topic to its latest watch of the store.
+		watches sync.Map
 		// lookupView is the view of the fleet from which look-ups are answered.
 		lookupView atomic.Pointer[lookupView]
 		ready      atomic.Bool
@@ -184,6 +184,8 @@
 		usage *usageReports
 		// leading reports to the watch goroutines whether this VM is the leader.
 		leading atomic.Bool
+		// checking reports to them whether this VM checks the store for its region.
+		checking atomic.Bool
 		// watching reports whether this VM watches the store itself.
 		watching atomic.Bool
 		// era is the latest era of the store that an answer of it or another VM named.
@@ -214,6 +216,8 @@
 		copying       bool
 		// copyFailedAt is when the copy of a VM was last requested without success.
 		copyFailedAt map[sassafrastray.VMName]time.Time
+		// storeFailedAt is when the latest call to the store for a topic failed.
+		storeFailedAt time.Time
 		// owners tells which of the known VMs own a part of quotas.
 		owners map[sassafrastray.VMName]bool
 		// currency tells whether another VM has a later configuration.
--- a/internal/fleet/edge/follow.go
+++ b/internal/fleet/edge/follow.go
@@ -1,35 +1,21 @@
 package edge
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"sassafrastray"
-	"sassafrastray/internal/fleet/replica"
 	"sassafrastray/internal/operator/message"
 )
 
 const (
-	// followWait is how long one watch of the store waits; the platform charges for
-	// each call. A store that stopped responding may never answer a watch, and a VM has to
-	// know that its configuration is the latest one. So the leader watches the
-	// configuration for leaderWait only and tells the others, and VMs restart their
-	// watches when another VM can't reach the store or has a change that they lack.
-	followWait = 25 * time.Second
-	leaderWait = time.Second
-
 	// coalesceTime is the pause after a change of the backend servers, so that one
 	// call returns several changes. It is well within the time in which a leaving
 	// server may still receive requests.
 	coalesceTime = 300 * time.Millisecond
 
-	// probeWait is how long the first watch after a failed call waits, so that a
-	// store that still does not respond does not block it for long.
-	probeWait = 200 * time.Millisecond
-
 	// minBackoff and maxBackoff bound the pause between calls to a store that does
 	// not answer; it doubles in between.
 	minBackoff = 100 * time.Millisecond
@@ -63,17 +49,10 @@
 		// The answer has all changes until asOf.
 		asOf := began
 		if read {
-			wait := followWait
-			switch {
-			case failed:
-				wait = probeWait
-			case t == sassafrastray.TopicConfig && v.leading.Load():
-				wait = leaderWait
-			}
-			ctx, end := v.watchContext(t)
-			b, err = v.store.Watch(ctx, t, after, wait)
-			interrupted = ctx.Err() != nil
-			end()
+			w, wait := v.startWatch(t, failed)
+			b, err = v.store.Watch(w.ctx, t, after, wait)
+			interrupted = w.ctx.Err() != nil
+			w.cancel()
 			if len(b.Entries) == 0 && v.clock.Now().Sub(began) >= wait {
 				asOf = began.Add(wait)
 			}
@@ -163,13 +142,6 @@
 	}
 }
 
-// watchContext returns the context of a topic's watch, which cancelWatches ends.
-func (v *VM) watchContext(t sassafrastray.Topic) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(v.ctx)
-	v.watchCancels.Store(t, cancel)
-	return ctx, cancel
-}
-
 // logUnanswered logs a call for a topic that failed after a wait. Calls that the store
 // refused fail at once.
 func (v *VM) logUnanswered(t sassafrastray.Topic, after sassafrastray.Position, err error, waited time.Duration) {
@@ -185,22 +157,6 @@
 		v.log.Warn(message.StoreUnreachable, "topic", t, "error", err.Error())
 		v.cancelWatches(t)
 	}
+	v.storeFailedAt = now
 	v.replica.RecordFailure(t, began, now)
 }
-
-// cancelWatches cancels the watches of all topics except one. They start again at
-// once, which shows whether the store answers.
-func (v *VM) cancelWatches(except sassafrastray.Topic) {
-	for _, t := range replica.Topics {
-		if t != except {
-			v.cancelWatch(t)
-		}
-	}
-}
-
-// cancelWatch cancels the watch of one topic, which starts again at once.
-func (v *VM) cancelWatch(t sassafrastray.Topic) {
-	if cancel, ok := v.watchCancels.Load(t); ok {
-		cancel.(context.CancelFunc)()
-	}
-}
--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// watchCheckInterval is the minimum interval between two checks of this VM's
-	// watches that are caused by another VM failing to reach the store.
+	// watchCheckInterval is the minimum interval between two renewals of this VM's
+	// watches that are caused by failed calls of other VMs.
 	watchCheckInterval = 2 * time.Second
 
 	// messagesPerList is the mean number of messages, between VMs of a large fleet
@@ -112,7 +112,7 @@
 	v.sequence++
 	h := &gossip.Heartbeat{
 		VM: v.self, Incarnation: v.incarnation, Sequence: v.sequence, Ready: v.ready.Load(), Idle: v.idle, Partitioned: v.partition.Partitioned(),
-		Latest: v.replica.Latest(), Era: v.replica.Era(), StoreReachable: v.replica.FailingFor(now) == 0,
+		Latest: v.replica.Latest(), Era: v.replica.Era(), StoreReachable: v.replica.FailingFor(now) == 0, Failed: v.sinceFailure(now),
 	}
 	if c := v.replica.Config(); c != nil {
 		h.Config = c.Number
@@ -189,9 +189,7 @@
 	case !v.hasSummary(h.VM, now):
 		v.updatePeer(h)
 	}
-	if !h.StoreReachable && v.replica.FailingFor(now) == 0 && v.isDue("watches", watchCheckInterval, now) {
-		v.cancelWatches("")
-	}
+	v.renewWatches(h, now)
 }
 
 // contact returns another VM as the quotas know it.
--- a/internal/fleet/edge/store.go
+++ b/internal/fleet/edge/store.go
@@ -151,7 +151,7 @@
 	})
 }
 
-// checkStore updates whether the VM leads and watches the store. If another VM has
+// checkStore updates the VM's roles and whether it watches the store. If another VM has
 // had later changes for behindTolerance, it requests that VM's copy. It does so at once
 // after a pause, and if it can't reach the store, which will not report them.
 func (v *VM) checkStore(now time.Time) {
@@ -162,9 +162,7 @@
 			v.metrics.storeWordAge.WithLabelValues(string(t)).Set(now.Sub(at).Seconds())
 		}
 	}
-	if leads := v.isLeader(now); v.leading.Swap(leads) != leads && leads {
-		v.cancelWatch(sassafrastray.TopicConfig)
-	}
+	v.updateRoles(now)
 	v.updateWatching(now)
 	from := v.mostAdvancedPeer(now)
 	if from == nil {
--- a/internal/fleet/edge/updates.go
+++ b/internal/fleet/edge/updates.go
@@ -28,11 +28,7 @@
 	if !v.members.Large() || v.leading.Load() || v.watching.Load() && v.replica.FailingFor(now) > 0 {
 		return true
 	}
-	reaches := func(name sassafrastray.VMName) bool {
-		h := v.heartbeats[name]
-		return h != nil && h.StoreReachable
-	}
-	return v.members.RankAmong(reaches, now) < member.Watchers
+	return v.members.RankAmong(v.reachesStore, now) < member.Watchers
 }
 
 // updateWatching starts or stops the watches of the store.
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -79,6 +79,9 @@
 		Era            int64                         `json:"era,omitempty"`
 		Latest         map[sassafrastray.Topic]int64 `json:"latest,omitempty"`
 		StoreReachable bool                          `json:"store,omitempty"`
+		// Failed is how long ago the sender's latest failed call to the store failed, or
+		// zero if that is longer ago than other VMs need to know.
+		Failed time.Duration `json:"failed,omitempty"`
 		// Confirmed is how long ago Config was last known to be the latest one in the
 		// store, or zero if it never was.
 		Confirmed time.Duration `json:"confirmed,omitempty"`
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -218,10 +218,21 @@
 
 // RankAmong is Rank among the VMs for which eligible returns true.
 func (t *Table) RankAmong(eligible func(sassafrastray.VMName) bool, now time.Time) int {
+	return t.countAbove(func(vm sassafrastray.VM) bool { return vm.Domain == t.self.Domain && eligible(vm.Name) }, now)
+}
+
+// RankDirect is RankAmong among the direct VMs of all failure domains.
+func (t *Table) RankDirect(eligible func(sassafrastray.VMName) bool, now time.Time) int {
+	return t.countAbove(func(vm sassafrastray.VM) bool { return t.IsDirect(vm) && eligible(vm.Name) }, now)
+}
+
+// countAbove returns how many of the live VMs for which counts returns true rank above this
+// VM.
+func (t *Table) countAbove(counts func(sassafrastray.VM) bool, now time.Time) int {
 	n := 0
 	for _, e := range t.entries {
 		vm := e.heartbeat.VM
-		if vm.Domain == t.self.Domain && t.alive(e, now) && compareRank(vm, t.self) > 0 && eligible(vm.Name) {
+		if t.alive(e, now) && compareRank(vm, t.self) > 0 && counts(vm) {
 			n++
 		}
 	}
--- a/internal/operator/message/message.go
+++ b/internal/operator/message/message.go
@@ -41,6 +41,7 @@
 	StoreCopyReceived = "copy of the store from another VM"
 	StoreUnreachable  = "the store is not reached"
 	StoreUnanswered   = "the store left a call unanswered"
+	WatchesRenewed    = "renewing the watches of the store"
 	StoreReachable    = "the store is reached again"
 	StoreReturned     = "the store has returned to an older copy"
 	VMSilent          = "VM not heard of any more"
