Name the parts of the watch tests after what they do

The store of the tests is muted, in the words of its methods, and the interval between two renewals stands beside the function that uses it.

--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -16,10 +16,6 @@
 )
 
 const (
-	// watchCheckInterval is the minimum interval between two renewals of this VM's
-	// watches that are caused by failed calls of other VMs.
-	watchCheckInterval = 2 * time.Second
-
 	// messagesPerList is the mean number of messages, between VMs of a large fleet
 	// with different views of it, of which one lists the known VMs. Each list reaches
 	// VMs that pass it on, so all know a change after a few rounds.
--- a/internal/fleet/edge/hushed_test.go
+++ b/internal/fleet/edge/muted_test.go
@@ -23,30 +23,30 @@
 )
 
 type (
-	// hushedStore is a store that never answers a call which arrives or would be answered
+	// mutedStore is a store that never answers a call which arrives or would be answered
 	// in a silence.
-	hushedStore struct {
+	mutedStore struct {
 		sassafrastray.MetadataStore
 		mu          sync.Mutex
 		revision    int64
 		changes     map[sassafrastray.Topic][]sassafrastray.Entry
 		changed     chan struct{}
-		silentUntil time.Time
+		mutedUntil time.Time
 	}
 
-	// hushedLink is a VM's way to the store.
-	hushedLink struct {
-		*hushedStore
+	// mutedLink is a VM's way to the store.
+	mutedLink struct {
+		*mutedStore
 		latency time.Duration
 	}
 )
 
-func newHushedStore() *hushedStore {
-	return &hushedStore{revision: 50, changes: make(map[sassafrastray.Topic][]sassafrastray.Entry), changed: make(chan struct{})}
+func newMutedStore() *mutedStore {
+	return &mutedStore{revision: 50, changes: make(map[sassafrastray.Topic][]sassafrastray.Entry), changed: make(chan struct{})}
 }
 
 // change changes the entry of a topic and returns its revision.
-func (s *hushedStore) change(t sassafrastray.Topic) int64 {
+func (s *mutedStore) change(t sassafrastray.Topic) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -67,25 +67,25 @@
 	return s.revision
 }
 
-// silence lets the store be silent for d, or for longer if it is already.
-func (s *hushedStore) silence(d time.Duration) {
+// mute lets the store be silent for d, or for longer if it is already.
+func (s *mutedStore) mute(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if until := time.Now().Add(d); until.After(s.silentUntil) {
-		s.silentUntil = until
+	if until := time.Now().Add(d); until.After(s.mutedUntil) {
+		s.mutedUntil = until
 	}
 }
 
 // calmFor reports whether there was no silence within d.
-func (s *hushedStore) calmFor(d time.Duration) bool {
+func (s *mutedStore) calmFor(d time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.silentUntil) >= d
+	return time.Since(s.mutedUntil) >= d
 }
 
 // since returns the changes of a topic after a revision, what signals the next change, and
 // whether the store is silent.
-func (s *hushedStore) since(t sassafrastray.Topic, after int64) (b sassafrastray.Batch, changed <-chan struct{}, silent bool) {
+func (s *mutedStore) since(t sassafrastray.Topic, after int64) (b sassafrastray.Batch, changed <-chan struct{}, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b = sassafrastray.Batch{Topic: t, Revision: s.revision}
@@ -94,24 +94,24 @@
 			b.Entries = append(b.Entries, e)
 		}
 	}
-	return b, s.changed, time.Now().Before(s.silentUntil)
+	return b, s.changed, time.Now().Before(s.mutedUntil)
 }
 
 // Read returns the latest change of a topic as its only entry.
-func (l hushedLink) Read(ctx context.Context, t sassafrastray.Topic, _ bool) (sassafrastray.Batch, error) {
+func (l mutedLink) Read(ctx context.Context, t sassafrastray.Topic, _ bool) (sassafrastray.Batch, error) {
 	b, err := l.call(ctx, t, 0, 0, 2*time.Second)
 	b.Complete, b.Entries = true, b.Entries[max(0, len(b.Entries)-1):]
 	return b, err
 }
 
 // Watch waits for changes of a topic.
-func (l hushedLink) Watch(ctx context.Context, t sassafrastray.Topic, after sassafrastray.Position, wait time.Duration) (sassafrastray.Batch, error) {
+func (l mutedLink) Watch(ctx context.Context, t sassafrastray.Topic, after sassafrastray.Position, wait time.Duration) (sassafrastray.Batch, error) {
 	return l.call(ctx, t, after.Revision, wait, 800*time.Millisecond)
 }
 
 // call answers a call that waits for a change. Without an answer it fails at its limit,
 // which begins after the wait.
-func (l hushedLink) call(ctx context.Context, t sassafrastray.Topic, after int64, wait, limit time.Duration) (sassafrastray.Batch, error) {
+func (l mutedLink) call(ctx context.Context, t sassafrastray.Topic, after int64, wait, limit time.Duration) (sassafrastray.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+limit)
 	defer cancel()
 	time.Sleep(l.latency)
@@ -136,9 +136,9 @@
 	return b, nil
 }
 
-// startHushedFleet starts six VMs in three regions that follow the store, in the order in
+// startMutedFleet starts six VMs in three regions that follow the store, in the order in
 // which they check it, and their heartbeats. It must be called in a synctest bubble.
-func startHushedFleet(t *testing.T, s *hushedStore) (vms []*VM) {
+func startMutedFleet(t *testing.T, s *mutedStore) (vms []*VM) {
 	t.Helper()
 	list, regions := newFleet(1)
 	for i := range list {
@@ -147,7 +147,7 @@
 		list[i].PeerAddress = netip.MustParseAddrPort("127.0.0.1:1")
 	}
 	for i, vm := range list {
-		l := hushedLink{s, time.Duration(2+25*(i/2)) * time.Millisecond}
+		l := mutedLink{s, time.Duration(2+25*(i/2)) * time.Millisecond}
 		v, err := New(Options{VM: vm, Region: regions[vm.Domain], Regions: regions}, l, sassafrastray.SystemClock{}, sassafrastray.SystemClock{}, slog.New(slog.DiscardHandler))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/fleet/edge/watch.go
+++ b/internal/fleet/edge/watch.go
@@ -25,6 +25,10 @@
 	// store that still does not respond does not block it for long.
 	probeWait = 200 * time.Millisecond
 
+	// renewInterval is the minimum interval between two renewals of this VM's watches
+	// that are caused by failed calls of other VMs.
+	renewInterval = 2 * time.Second
+
 	// failureMemory is how long heartbeats tell of a failed call. It covers a few of
 	// them, since some may be lost.
 	failureMemory = 5 * time.Second
@@ -117,7 +121,7 @@
 			topics = append(topics, t)
 		}
 	}
-	if len(topics) == 0 || !v.isDue("watches", watchCheckInterval, now) {
+	if len(topics) == 0 || !v.isDue("watches", renewInterval, now) {
 		return
 	}
 	v.log.Info(message.WatchesRenewed, "from", h.VM.Name, "failed", h.Failed, "topics", topics)
--- a/internal/fleet/edge/watch_test.go
+++ b/internal/fleet/edge/watch_test.go
@@ -109,8 +109,8 @@
 // changeBound after it was made while the store was stable.
 func playSilences(t *testing.T, steps []step) (faults []string) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newHushedStore()
-		vms := startHushedFleet(t, s)
+		s := newMutedStore()
+		vms := startMutedFleet(t, s)
 		found := make(chan string, len(steps)*len(vms))
 		var checks sync.WaitGroup
 		for _, st := range steps {
@@ -130,7 +130,7 @@
 					}
 				})
 			case st.silence > 0:
-				s.silence(st.silence)
+				s.mute(st.silence)
 			default:
 				vms[st.kill].stop()
 			}
