--- a/internal/fleet/edge/follow_test.go
+++ b/internal/fleet/edge/follow_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// startFollowing starts a VM's control goroutine and followers of the store.
+// startFollowing returns a VM that follows a store.
 func startFollowing(t *testing.T, store sassafrastray.MetadataStore) *VM {
 	t.Helper()
 	list, regions := newFleet(1)
@@ -58,11 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	v.loops.Add(1 + len(replica.Topics))
-	go v.control()
-	for _, topic := range replica.Topics {
-		go v.followTopic(topic)
-	}
+	startLoops(v)
 	t.Cleanup(func() {
 		v.stop()
 		v.loops.Wait()
@@ -70,6 +66,15 @@
 	return v
 }
 
+// startLoops starts a VM's control goroutine and followers of the store.
+func startLoops(v *VM) {
+	v.loops.Add(1 + len(replica.Topics))
+	go v.control()
+	for _, topic := range replica.Topics {
+		go v.followTopic(topic)
+	}
+}
+
 // TestLeaderConfirmsTheConfiguration checks that the VM that leads knows all the time that
 // there is no later configuration, though the store has no changes to report.
 func TestLeaderConfirmsTheConfiguration(t *testing.T) {
--- a/internal/fleet/edge/muted_test.go
+++ b/internal/fleet/edge/muted_test.go
@@ -11,7 +11,6 @@
 
 	"sassafrastray"
 	"sassafrastray/internal/fleet/gossip"
-	"sassafrastray/internal/fleet/replica"
 )
 
 // The bounds of the deployment that allows the least time.
@@ -27,10 +26,10 @@
 	// in a silence.
 	mutedStore struct {
 		sassafrastray.MetadataStore
-		mu          sync.Mutex
-		revision    int64
-		changes     map[sassafrastray.Topic][]sassafrastray.Entry
-		changed     chan struct{}
+		mu         sync.Mutex
+		revision   int64
+		changes    map[sassafrastray.Topic][]sassafrastray.Entry
+		changed    chan struct{}
 		mutedUntil time.Time
 	}
 
@@ -152,11 +151,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		v.loops.Add(1 + len(replica.Topics))
-		go v.control()
-		for _, topic := range replica.Topics {
-			go v.followTopic(topic)
-		}
+		startLoops(v)
 		vms = append(vms, v)
 	}
 	stop := make(chan struct{})
