--- a/internal/fleet/edge/watch.go
+++ b/internal/fleet/edge/watch.go
@@ -73,13 +73,13 @@
 
 // cancelWatch cancels the watch of one topic, which starts again at once.
 func (v *VM) cancelWatch(t sassafrastray.Topic) {
-	if w := v.watch(t); w != nil {
+	if w := v.pendingWatch(t); w != nil {
 		w.cancel()
 	}
 }
 
-// watch returns the watch of a topic that the VM waits for, or nil.
-func (v *VM) watch(t sassafrastray.Topic) *watch {
+// pendingWatch returns the watch of a topic that the VM waits for, or nil.
+func (v *VM) pendingWatch(t sassafrastray.Topic) *watch {
 	if w, ok := v.watches.Load(t); ok && w.(*watch).ctx.Err() == nil {
 		return w.(*watch)
 	}
@@ -117,7 +117,7 @@
 	failedAt := now.Add(-h.Failed)
 	var topics []sassafrastray.Topic
 	for _, t := range replica.Topics {
-		if w := v.watch(t); w != nil && w.began.Before(failedAt) {
+		if w := v.pendingWatch(t); w != nil && w.began.Before(failedAt) {
 			topics = append(topics, t)
 		}
 	}
