Log and count requests by the region that they go to

A request whose rules allow no near server was logged as a detour, like one that leaves its region for its lateness; the share of objects that go to other regions was in no line and no metric; and the request lines are limited, so that nothing counted all requests by region.

The choice of such a request is named home now. Once a second a VM logs the share of each service and the requests that were sent and refused by region, and counts them.

--- a/cmd/sassafrastray/where.go
+++ b/cmd/sassafrastray/where.go
@@ -47,6 +47,7 @@
 	placement.Spread:                     "another server of the region than the object's first, or any if there is no object",
 	placement.Away:                       "the object is in the share of other regions",
 	placement.Detour:                     "the object's region is too slow or has no usable server",
+	placement.Home:                       "its rules allow other regions only",
 	placement.Busy:                       "the request would wait too long",
 	placement.Limited:                    "all servers have had what their limits allow",
 	placement.Paused:                     "all servers want no requests for a while",
--- a/internal/fleet/edge/control.go
+++ b/internal/fleet/edge/control.go
@@ -128,6 +128,7 @@
 	v.recallMemory(now)
 	v.logSilence(now)
 	v.logQuotas(now)
+	v.logRegions(now)
 	v.updateLookups(now)
 	v.tickUsage(now)
 }
--- a/internal/fleet/edge/log.go
+++ b/internal/fleet/edge/log.go
@@ -16,6 +16,9 @@
 	quotaLogInterval = 500 * time.Millisecond
 )
 
+// regionLogInterval is the time between two lines about the regions of a service's requests.
+const regionLogInterval = time.Second
+
 // logQuotas logs the VM's shares of the quotas of the teams that sent requests lately.
 func (v *VM) logQuotas(now time.Time) {
 	if !v.isDue("quotas", quotaLogInterval, now) {
@@ -34,6 +37,23 @@
 	}
 }
 
+// logRegions logs how the requests since the last call were divided between the VM's region
+// and the others.
+func (v *VM) logRegions(now time.Time) {
+	if !v.isDue("regions", regionLogInterval, now) {
+		return
+	}
+	var tallies []placement.Tally
+	v.placement.do(func(t *placement.Table, _ time.Time) { tallies = t.Tallies() })
+	for i := range tallies {
+		c := &tallies[i]
+		v.metrics.countRegions(c)
+		v.log.Info(message.RegionShare, "service", c.Service, "share", c.Share, "nearLoad", c.NearLoad, "awayLoad", c.AwayLoad,
+			"near", c.Near, "away", c.Away, "detours", c.Detours, "home", c.Home,
+			"refusedNear", c.RefusedNear, "refusedAway", c.RefusedAway, "refusedHome", c.RefusedHome)
+	}
+}
+
 // logQuarantine logs the requests that are kept from backend servers, the trials and the
 // ends.
 func (v *VM) logQuarantine(events []quarantine.Event) {
--- a/internal/fleet/edge/metrics.go
+++ b/internal/fleet/edge/metrics.go
@@ -1,6 +1,10 @@
 package edge
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sassafrastray/internal/traffic/placement"
+)
 
 const namespace = "sassafrastray"
 
@@ -26,6 +30,10 @@
 	// be decoded.
 	runs    *prometheus.CounterVec
 	badRuns prometheus.Counter
+	// regionChoices counts requests by where they are sent, and awayShare is the share of
+	// objects that go to other regions.
+	regionChoices *prometheus.CounterVec
+	awayShare     *prometheus.GaugeVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -85,6 +93,32 @@
 	m.configConfirmedAge = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "config_confirmed_age_seconds", Help: "Time since the configuration was last known to be the latest one in the store.",
 	})
-	r.MustRegister(m.runs, m.badRuns, m.configConfirmedAge, m.storeWordAge, m.configInForce, m.configBehind, m.configWordAge, m.quotaShare, m.quotaTokens, m.partitioned, m.store, m.heartbeats, m.overflow, m.config, m.storeUnreachable, m.era, m.quarantined, m.pauses)
+	m.regionChoices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "region_choices_total", Help: "Requests by whether they go to the VM's region (near), to another one (away, detour) or must go there (home), and by outcome (sent, refused).",
+	}, []string{"service", "region", "outcome"})
+	m.awayShare = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "away_share", Help: "Share of a service's objects that go to other regions.",
+	}, []string{"service"})
+	r.MustRegister(m.regionChoices, m.awayShare, m.runs, m.badRuns, m.configConfirmedAge, m.storeWordAge, m.configInForce, m.configBehind, m.configWordAge, m.quotaShare, m.quotaTokens, m.partitioned, m.store, m.heartbeats, m.overflow, m.config, m.storeUnreachable, m.era, m.quarantined, m.pauses)
 	return m
 }
+
+// countRegions counts the choices of a tally.
+func (m *metrics) countRegions(c *placement.Tally) {
+	service := string(c.Service)
+	m.awayShare.WithLabelValues(service).Set(c.Share)
+	for _, n := range []struct {
+		region, outcome string
+		count           int
+	}{
+		{"near", "sent", c.Near},
+		{"away", "sent", c.Away},
+		{"detour", "sent", c.Detours},
+		{"home", "sent", c.Home},
+		{"near", "refused", c.RefusedNear},
+		{"away", "refused", c.RefusedAway},
+		{"home", "refused", c.RefusedHome},
+	} {
+		m.regionChoices.WithLabelValues(service, n.region, n.outcome).Add(float64(n.count))
+	}
+}
--- a/internal/operator/message/message.go
+++ b/internal/operator/message/message.go
@@ -48,6 +48,7 @@
 	VMHeardAgain      = "VM heard of again"
 	VMStalled         = "the VM stood still"
 	QuotaShare        = "share of a quota"
+	RegionShare       = "share of other regions"
 	Crash             = "unexpected error in a task"
 	ConnectionsFull   = "connections at their bound"
 	AcceptFailed      = "accepting connections failed"
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -23,6 +23,7 @@
 	Spread    Reason = "spread"    // another server of the region, or any of them if there is no object
 	Away      Reason = "away"      // the object is in the share of other regions
 	Detour    Reason = "detour"    // the region that the object is assigned to is too slow or has no usable server
+	Home      Reason = "home"      // the rules of the request do not allow the VM's region
 	Busy      Reason = "busy"      // the request would wait too long at the selected server
 	Limited   Reason = "limited"   // all servers that may take it have had what their limits allow
 	Paused    Reason = "paused"    // all servers that may take it want no requests for a while
@@ -218,6 +219,8 @@
 	case chosen.server == nil && alternative.server == nil:
 		wait, reason := t.nextAvailable(svc, &r, now)
 		return Choice{Reason: reason, RetryAfter: wait}, false
+	case !sassafrastray.InRegions(r.Regions, t.opt.Region):
+		chosen, reason = bestRemote, Home
 	case chosen.server == nil:
 		chosen, reason = alternative, Detour
 	case alternative.server != nil && alternative.warm && svc.detours >= 1 && r.late(chosen) && !r.late(alternative):
@@ -227,6 +230,7 @@
 		reason = Spread
 	}
 	admitted, ok := t.admit(svc, &r, chosen, now)
+	svc.tally.count(reason, chosen.server.region, t.opt.Region, ok)
 	if !ok {
 		admitted.Server, admitted.Load, admitted.Expected = chosen.server.BackendServer, chosen.load, chosen.cost
 		admitted.Warm, admitted.ReportAge, admitted.Considered = chosen.warm, t.reportAge(chosen.server, now), local.considered+remote.considered
--- a/internal/traffic/placement/service.go
+++ b/internal/traffic/placement/service.go
@@ -99,6 +99,7 @@
 	// rates holds how often the objects are run in the region.
 	rates          map[uint32]rate
 	ratesCheckedAt time.Time
+	tally          Tally
 }
 
 func newService(name sassafrastray.ServiceName) *service {
