Decide on the share of other regions from the demand of all regions

Cause: each VM decided alone what all VMs of its region decide at once. It kept its own share of objects for other regions, from a guess by slots and then from the load of the near servers. It did not know that teams of other regions which may go nowhere else ask for the same servers, nor the demand of the other regions. In the first second, before any report, all VMs admitted everything and filled the queues; then admission held the load near its target, so that the load did not tell how much more was asked, and the share stayed.

Now VMs tell each other the demand of each service in heartbeats, refused requests included: within a region its own, between regions the region's sum. Each VM computes from these sums which share its region has to send away and which regions have room, follows that within the bound, and takes the share of the others when it starts beside them. The first plan holds at once, since there was no demand before it. Until the first reports, admission assumes that each VM sends as many requests as this one. The load of another region is the one that its VMs report.

--- a/internal/fleet/edge/heartbeat.go
+++ b/internal/fleet/edge/heartbeat.go
@@ -92,6 +92,7 @@
 		m.Fleet = v.knownVMs()
 	}
 	v.addRuns(&m, to, now)
+	v.addShares(&m, to)
 	return m
 }
 
@@ -167,7 +168,7 @@
 	v.confirmConfig(h)
 	v.usage.hear(h, v.roundTrips[v.regionOf(h.VM)], now)
 	stored := *h
-	stored.Fleet, stored.Limits, stored.Quarantine, stored.Quotas, stored.Runs = nil, nil, nil, nil, ""
+	stored.Fleet, stored.Limits, stored.Quarantine, stored.Quotas, stored.Runs, stored.Shares = nil, nil, nil, nil, "", nil
 	v.heartbeats[h.VM.Name] = &stored
 	v.quotas.do(func(l *ratelimit.Limiter, now time.Time) {
 		l.Receive(v.contact(h.VM), ratelimit.Stamp{Incarnation: h.Incarnation, Sequence: h.Sequence}, h.Quotas, now)
@@ -176,6 +177,7 @@
 		v.placement.do(func(t *placement.Table, now time.Time) { t.ReceiveLimits(h.Limits, now) })
 	}
 	v.receiveRuns(h)
+	v.receiveShares(h)
 	if h.Quarantine != nil {
 		v.quarantine.do(func(t *quarantine.Table, now time.Time) { t.Receive(h.VM.Name, h.Quarantine, now) })
 	}
--- a/internal/fleet/edge/region.go
+++ b/internal/fleet/edge/region.go
@@ -10,6 +10,7 @@
 	"sassafrastray/internal/fleet/gossip"
 	"sassafrastray/internal/limit/ratelimit"
 	"sassafrastray/internal/rollout/rollout"
+	"sassafrastray/internal/traffic/placement"
 )
 
 const (
@@ -77,6 +78,7 @@
 		}
 	}
 	s.Evidence = rollout.Sum(evidence)
+	v.placement.do(func(t *placement.Table, now time.Time) { s.Shares = t.RegionReports(now) })
 	v.regions.own, v.regions.ownAt = s, now
 	return s
 }
@@ -95,6 +97,7 @@
 		l.UpdatePeer(ratelimit.Peer{Source: s.Region.Source(), Region: s.Region}, s.Report, now)
 	})
 	v.rollouts.do(func(t *rollout.Tracker, _ time.Time) { t.Receive(s.Region.Source(), s.Evidence) })
+	v.placement.do(func(t *placement.Table, now time.Time) { t.ReceiveRegion(s.Region, s.Shares, now) })
 }
 
 // hasSummary reports whether a recent summary of the VM's region includes its
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -101,6 +101,9 @@
 		// Runs has the latest runs that the sender saw at backend servers, encoded. Only
 		// VMs of the same region of a large fleet send it to each other.
 		Runs string `json:"runs,omitempty"`
+		// Shares has the sender's shares of other regions. Only VMs of the same region of a
+		// large fleet send it to each other.
+		Shares []placement.ShareReport `json:"shares,omitempty"`
 		// Summary replaces Uses and Evidence in heartbeats between the regions of a
 		// large fleet.
 		Summary *Summary `json:"summary,omitempty"`
@@ -147,6 +150,8 @@
 		// know different ones.
 		Digest   uint64           `json:"digest,omitempty"`
 		Evidence rollout.Evidence `json:"evidence,omitempty"`
+		// Shares has the region's shares of other regions.
+		Shares []placement.ShareReport `json:"shares,omitempty"`
 	}
 
 	// Handler processes the messages of other VMs.
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -88,6 +88,9 @@
 		// of the service's servers there, including the queued ones.
 		Region     sassafrastray.RegionName
 		RegionLoad float64
+		// Guessed says that RegionLoad is a guess from the VM's own requests, since the VMs
+		// of the region have not told each other yet what they see.
+		Guessed bool
 	}
 
 	// Verdict is a decision.
@@ -130,6 +133,8 @@
 		return g.refuse(l, &r, Deadline, e.Distance+e.Wait+e.Work-r.TimeLeft, now)
 	case e.Wait > limit:
 		return g.refuse(l, &r, Late, e.Wait-limit, now)
+	case !expected && e.Guessed && g.rng.Float64() >= guessedShare(e.RegionLoad)*factor(r.Priority):
+		return g.refuse(l, &r, Level, e.drain(), now)
 	case !expected && !e.isIdle() && g.rng.Float64() >= l.share*factor(r.Priority):
 		return g.refuse(l, &r, Level, e.drain(), now)
 	}
--- a/internal/traffic/admission/level.go
+++ b/internal/traffic/admission/level.go
@@ -38,6 +38,11 @@
 	learnTime  = 1250 * time.Millisecond
 	minLearned = 0.2
 
+	// fullLoad is the guessed load from which no request is admitted. All VMs would
+	// otherwise fill the servers' queues before the first of them hears of it, and then
+	// refuse all requests until these are empty.
+	fullLoad = 1.5
+
 	// minShare limits the time that the share takes to rise after an overload, and
 	// maxShare admits all requests of all priorities.
 	minShare = 0.05
@@ -108,6 +113,11 @@
 	return riseRate / (changeRate * (load - targetLoad))
 }
 
+// guessedShare returns the share that is admitted at a guessed load.
+func guessedShare(load float64) float64 {
+	return maxShare * min(1, max(0, (fullLoad-load)/(fullLoad-targetLoad)))
+}
+
 // isShedding reports whether the region has too much load for all requests of priority 1.
 func (l *level) isShedding() bool { return l.share < 1 || l.load > queueLoad }
 
--- a/internal/traffic/placement/forecast.go
+++ b/internal/traffic/placement/forecast.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -122,7 +123,7 @@
 // known. The copy shares only what Pick does not write.
 func (t *Table) copyService(name sassafrastray.ServiceName, rng *rand.Rand) *Table {
 	out := New(t.opt, rng)
-	out.distances, out.fleet, out.regionPeers, out.firstSeen, out.shared = t.distances, t.fleet, t.regionPeers, t.firstSeen, t.shared
+	out.distances, out.fleet, out.regionPeers, out.firstSeen, out.shared, out.heard = t.distances, t.fleet, t.regionPeers, t.firstSeen, t.shared, t.heard
 	if t.gate != nil {
 		out.gate = t.gate.Clone(rng)
 	}
@@ -131,6 +132,8 @@
 		return out
 	}
 	c := *svc
+	c.count, c.weights = demandCount{demand: newDemand()}, maps.Clone(svc.weights)
+	c.peers, c.others = maps.Clone(svc.peers), maps.Clone(svc.others)
 	c.servers = make(map[sassafrastray.RegionName][]*server, len(svc.servers))
 	for region, list := range svc.servers {
 		for _, s := range list {
@@ -165,7 +168,7 @@
 	object, away := uint64(0), false
 	if r.Sticky && r.Object != "" {
 		hash, position := t.object(*r)
-		svc.initRemoteShare(t)
+		svc.initRemoteShare(t, now)
 		object, away = hash, position < svc.remoteShare
 	}
 	local, remote := t.allowedServers(svc, r)
@@ -275,7 +278,7 @@
 		if len(list) == 0 {
 			continue
 		}
-		l := RegionLevel{Region: region, Load: t.regionLoad(svc, list[0], now), Level: -1}
+		l := RegionLevel{Region: region, Load: t.regionLoad(svc, region, now), Level: -1}
 		if level, ok := t.gate.Level(svc.name, region); ok {
 			l.Level = level
 		}
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -83,6 +83,11 @@
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 
+	// shareSeed and awaySeed distinguish the places of an object among all objects and among
+	// those that go to other regions.
+	shareSeed = 0x9e3779b97f4a7c15
+	awaySeed  = 0xbf58476d1ce4e5b9
+
 	// noServerRetryAfter is the time to retry after if no server is known.
 	noServerRetryAfter = time.Second
 )
@@ -205,7 +210,7 @@
 		return Choice{Reason: None, RetryAfter: noServerRetryAfter}, false
 	}
 	svc.countRequest(now)
-	svc.initRemoteShare(t)
+	svc.initRemoteShare(t, now)
 	svc.detours = min(maxDetours, svc.detours+detourFraction)
 	object, position := t.object(r)
 	inRemoteShare := position < svc.remoteShare
@@ -231,6 +236,7 @@
 	}
 	admitted, ok := t.admit(svc, &r, chosen, now)
 	svc.tally.count(reason, chosen.server.region, t.opt.Region, ok)
+	svc.countDemand(&r, reason, chosen.server.region)
 	if !ok {
 		admitted.Server, admitted.Load, admitted.Expected = chosen.server.BackendServer, chosen.load, chosen.cost
 		admitted.Warm, admitted.ReportAge, admitted.Considered = chosen.warm, t.reportAge(chosen.server, now), local.considered+remote.considered
@@ -293,9 +299,12 @@
 		return 0, t.rng.Float64()
 	}
 	hash = xxhash.Sum64String(r.Object)
-	return hash, float64(mix(hash, 0x9e3779b97f4a7c15)>>11) / (1 << 53)
+	return hash, placeOf(hash, shareSeed)
 }
 
+// placeOf returns a number from 0 up to 1 that depends on the object and a seed alone.
+func placeOf(object, seed uint64) float64 { return float64(mix(object, seed)>>11) / (1 << 53) }
+
 // reserve counts a request at the server until Done.
 func (t *Table) reserve(c candidate, object uint64, reason Reason, now time.Time) Choice {
 	s := c.server
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -84,8 +84,10 @@
 
 		// shared means that the VMs of the region share their reports of runs. runs are
 		// those that this VM saw, the oldest first, and byID holds the servers by their
-		// identifiers in reports. scratch is the memory of a choice.
+		// identifiers in reports. heard is set once another VM of the region has reported,
+		// and scratch is the memory of a choice.
 		shared  bool
+		heard   bool
 		runs    []run
 		byID    map[uint32]*server
 		scratch []*server
--- /dev/null
+++ b/internal/traffic/placement/plan_test.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"sassafrastray"
+)
+
+// planned returns a VM of the region north with ten servers, beside 45 each of the regions
+// south and west, and the plan that it makes with the given demand.
+func planned(own demand, others map[sassafrastray.RegionName]ShareReport) (t *Table, share float64, ok bool) {
+	t = newTable("north", 1)
+	t.Update(slices.Concat(servers("n-1", 10, 3), servers("s-1", 45, 3), servers("w-1", 45, 3)), nil, start)
+	t.SetShared(true)
+	svc := t.services["s"]
+	svc.firstRequest = start.Add(-time.Minute)
+	svc.count.demand, svc.count.span = own, 1/tickInterval.Seconds()
+	for region, r := range others {
+		r.Service = "s"
+		t.ReceiveRegion(region, []ShareReport{r}, start)
+	}
+	share, ok = svc.plan(t, start)
+	return t, share, ok
+}
+
+// TestPlan guards against a region that keeps more requests than others by slots, although it
+// refuses them, against one that leaves no room for teams that may go nowhere else, and against
+// requests that go to a region without room.
+func TestPlan(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		own         demand
+		south, west ShareReport
+		silent      bool
+		share       float64
+		to          sassafrastray.RegionName
+	}{
+		{name: "even by slots", own: demand{free: 100}, south: ShareReport{Free: 4500}, west: ShareReport{Free: 4500}},
+		{name: "little more", own: demand{free: 104}, south: ShareReport{Free: 4500}, west: ShareReport{Free: 4500}},
+		{name: "more than its servers", own: demand{free: 300}, south: ShareReport{Free: 3000}, west: ShareReport{Free: 4000}, share: 1 - 1.05*100/300},
+		{name: "one region has no room", own: demand{free: 300}, south: ShareReport{Free: 6000}, west: ShareReport{Free: 1000}, share: 1 - 1.05*100/300, to: "west"},
+		{
+			name: "a team of others is bound to it", own: demand{free: 300}, share: 1 - (1.05*100-50)/300,
+			south: ShareReport{Free: 3000, Bound: map[sassafrastray.RegionName]int{"north": 500}}, west: ShareReport{Free: 3500},
+		},
+		{
+			name: "its own team is bound elsewhere", own: demand{free: 100, bound: map[sassafrastray.RegionName]float64{"south": 200}},
+			south: ShareReport{Free: 2000}, west: ShareReport{Free: 5000},
+		},
+		{name: "a region is silent", own: demand{free: 300}, south: ShareReport{Free: 3000}, silent: true},
+		{name: "no requests", south: ShareReport{Free: 4500}, west: ShareReport{Free: 4500}, silent: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			others := map[sassafrastray.RegionName]ShareReport{"south": c.south}
+			if c.west.Free > 0 {
+				others["west"] = c.west
+			}
+			if c.own.bound == nil {
+				c.own.bound = map[sassafrastray.RegionName]float64{}
+			}
+			table, share, ok := planned(c.own, others)
+			if ok == c.silent || math.Abs(share-c.share) > 1e-6 {
+				t.Fatalf("share %.3f, %v, want %.3f", share, ok, c.share)
+			}
+			if c.to == "" {
+				return
+			}
+			svc := table.services["s"]
+			svc.remoteShare, svc.shareSet = 1, true
+			for range 100 {
+				choice, sent := table.Pick(request(""), start)
+				if !sent || choice.server.region != c.to {
+					t.Fatalf("a request goes to %s, %v, want %s", choice.Server.Name, sent, c.to)
+				}
+				table.Done(choice, Cancelled, 0, nil, start)
+			}
+		})
+	}
+}
+
+// TestSilentRegionEndsPlan guards against a plan by figures of a region that is not heard of any
+// more.
+func TestSilentRegionEndsPlan(t *testing.T) {
+	table, _, ok := planned(demand{free: 300, bound: map[sassafrastray.RegionName]float64{}}, map[sassafrastray.RegionName]ShareReport{"south": {Free: 3000}, "west": {Free: 3000}})
+	if !ok {
+		t.Fatal("no plan")
+	}
+	table.ReceiveRegion("west", []ShareReport{{Service: "s", Free: 3000}}, start.Add(shareTime))
+	if _, ok := table.services["s"].plan(table, start.Add(shareTime+1)); ok {
+		t.Error("the plan goes by old figures")
+	}
+}
+
+// TestPlannedRegionFails guards against requests that find no server because all those of the
+// region to which the plan sends them are blocked.
+func TestPlannedRegionFails(t *testing.T) {
+	table, _, _ := planned(demand{free: 300, bound: map[sassafrastray.RegionName]float64{}}, map[sassafrastray.RegionName]ShareReport{"south": {Free: 6000}, "west": {Free: 1000}})
+	svc := table.services["s"]
+	svc.remoteShare, svc.shareSet = 1, true
+	for _, s := range svc.servers["west"] {
+		s.blockedUntil = start.Add(time.Second)
+	}
+	if choice, sent := table.Pick(request("x"), start); !sent || choice.server.region != "south" {
+		t.Errorf("the request goes to %q, %v", choice.Server.Name, sent)
+	}
+}
+
+// TestRestartedVMJoinsShare guards against a VM that starts anew beside the others of its region
+// and sends its requests elsewhere than these.
+func TestRestartedVMJoinsShare(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reports map[sassafrastray.VMName]ShareReport
+		want    float64
+	}{
+		{"alone", nil, 0.682},
+		{"beside others", map[sassafrastray.VMName]ShareReport{"a": {Share: 200, Free: 300}, "b": {Share: 300, Free: 100}, "idle": {Share: 900}}, 0.225},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table, _, _ := planned(newDemand(), nil)
+			for name, r := range c.reports {
+				r.Service = "s"
+				table.ReceiveShares(name, []ShareReport{r}, start)
+			}
+			table.Pick(request("x"), start.Add(time.Second))
+			if got := table.services["s"].remoteShare; math.Abs(got-c.want) > 1e-3 {
+				t.Errorf("share %.3f, want %.3f", got, c.want)
+			}
+		})
+	}
+}
+
+// TestShareReports checks that a report tells what was counted, refused requests and those bound
+// to a region included, and that invalid reports change nothing.
+func TestShareReports(t *testing.T) {
+	from, _, _ := planned(newDemand(), nil)
+	from.services["s"].count = demandCount{demand: newDemand()}
+	bound := request("x")
+	bound.Regions[0] = []sassafrastray.RegionName{"west"}
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		r := request("")
+		if i%5 == 0 {
+			r = bound
+		}
+		r.TimeLeft = time.Duration(i%2) * time.Minute
+		from.Pick(r, now)
+		if i%20 == 19 {
+			from.Tick(now)
+		}
+	}
+	reports := from.ShareReports(start)
+	if len(reports) != 1 || math.Abs(float64(reports[0].Free)-800) > 80 || math.Abs(float64(reports[0].Bound["west"])-200) > 40 {
+		t.Fatalf("reports %+v, want 80 a second and 20 bound to west", reports)
+	}
+	to, _, _ := planned(newDemand(), nil)
+	for _, invalid := range []ShareReport{
+		{Service: "other", Free: 10},
+		{Service: "s", Share: 1001, Free: 10},
+		{Service: "s", Share: -1, Free: 10},
+		{Service: "s", Load: -1, Free: 10},
+		{Service: "s", Free: -10},
+	} {
+		to.ReceiveShares("vm", []ShareReport{invalid}, start)
+		to.ReceiveRegion("west", []ShareReport{invalid}, start)
+	}
+	to.ReceiveShares("vm", []ShareReport{{Service: "s", Free: 10, Bound: map[sassafrastray.RegionName]int{"west": 5, "south": -1, "nowhere": 7}}}, start)
+	svc := to.services["s"]
+	want := map[sassafrastray.RegionName]float64{"west": 0.5}
+	if len(svc.peers) != 1 || len(svc.others) != 0 || !maps.Equal(svc.peers["vm"].demand.bound, want) {
+		t.Errorf("peers %+v, others %+v", svc.peers, svc.others)
+	}
+}
--- a/internal/traffic/placement/region_load_test.go
+++ b/internal/traffic/placement/region_load_test.go
@@ -29,7 +29,7 @@
 			}
 			table.ReceiveRuns(runs, start)
 			s := table.servers[list[0].Name]
-			if got := table.regionLoad(s.service, s, start); got != c.want {
+			if got := table.regionLoad(s.service, s.region, start); got != c.want {
 				t.Errorf("load %v, want %v", got, c.want)
 			}
 		})
--- a/internal/traffic/placement/service.go
+++ b/internal/traffic/placement/service.go
@@ -41,6 +41,10 @@
 	// by which the share may change per second.
 	shiftFraction = 0.2
 
+	// plannedShiftFraction replaces shiftFraction where the VMs of a region follow a plan
+	// that they all compute from the same figures.
+	plannedShiftFraction = 0.3
+
 	// loadGain is the weight of a new load sample in its moving average.
 	loadGain = 0.2
 
@@ -56,6 +60,9 @@
 	// regions is set again if VMs begin to share reports of runs. The first requests may
 	// arrive before the VM knows how large the fleet is.
 	shareResetTime = time.Second
+
+	// planTime is how long after a service's first request the first plan holds at once.
+	planTime = 1500 * time.Millisecond
 )
 
 // service is the state of one service in a Table.
@@ -75,6 +82,8 @@
 	shareSet bool
 	// firstRequest and lastRequest are the times of the service's first and latest requests.
 	firstRequest, lastRequest time.Time
+	// planned is set once the demand of all regions has been known.
+	planned bool
 	// remoteShare is the fraction of objects that go to other regions.
 	remoteShare float64
 	// nearLoad is the moving average of requests per slot in the VM's
@@ -100,6 +109,13 @@
 	rates          map[uint32]rate
 	ratesCheckedAt time.Time
 	tally          Tally
+	// count holds the late requests at this VM, peers the latest reports of the other VMs
+	// of the region, and others those of the other regions.
+	count  demandCount
+	peers  map[sassafrastray.VMName]regionState
+	others map[sassafrastray.RegionName]regionState
+	// weights divides the objects that go away among the other regions.
+	weights map[sassafrastray.RegionName]float64
 }
 
 func newService(name sassafrastray.ServiceName) *service {
@@ -107,7 +123,9 @@
 		name: name, warmWork: defaultWarm, coldWork: defaultCold, meanWork: defaultWarm,
 		servers: make(map[sassafrastray.RegionName][]*server),
 		base:    make(map[sassafrastray.VersionName]bool), capacity: initialCapacity, rates: make(map[uint32]rate),
-		slowdown: average{value: 1, count: 1},
+		slowdown: average{value: 1, count: 1}, count: demandCount{demand: newDemand()},
+		peers: make(map[sassafrastray.VMName]regionState), others: make(map[sassafrastray.RegionName]regionState),
+		weights: make(map[sassafrastray.RegionName]float64),
 	}
 }
 
@@ -153,13 +171,17 @@
 	s.lastRequest = now
 }
 
-// initRemoteShare sets the initial share of other regions from the numbers of
-// slots. It does so at the first request, since the distances are known by
-// then.
-func (s *service) initRemoteShare(t *Table) {
+// initRemoteShare sets the initial share of other regions, to that of the other VMs of the
+// region or else from the numbers of slots. It does so at the first request, since the
+// distances are known by then.
+func (s *service) initRemoteShare(t *Table, now time.Time) {
 	if s.shareSet {
 		return
 	}
+	if share, ok := s.peerShare(now); ok {
+		s.remoteShare, s.shareSet, s.planned = share, true, true
+		return
+	}
 	near, all := 0, 0
 	for region, list := range s.servers {
 		for _, v := range list {
@@ -198,12 +220,15 @@
 	return near + (far-near)*min(1, ratio)
 }
 
-// tick moves the share of other regions toward the value at which the load of the
-// near servers is at the overflow threshold.
-func (s *service) tick(t *Table, now time.Time) {
-	s.forgetRates(now)
-	near, nearSlots, away, awaySlots := 0.0, 0, 0.0, 0
-	observedLoad, observedSlots := 0.0, 0
+// regionLoads are the requests and slots at the usable servers of the VM's region, of all
+// others, and of those of the others that were observed lately.
+type regionLoads struct {
+	near, away, observed                float64
+	nearSlots, awaySlots, observedSlots int
+}
+
+func (s *service) loads(t *Table, now time.Time) regionLoads {
+	var out regionLoads
 	for _, region := range s.regions {
 		for _, v := range s.servers[region] {
 			if v.leaves() || v.evacuated || now.Before(v.blockedUntil) || v.isPaused(now) || v.limit != nil {
@@ -211,35 +236,77 @@
 			}
 			load := t.loadOf(v, now)
 			if region == t.opt.Region {
-				near, nearSlots = near+load, nearSlots+v.Slots
-			} else {
-				away, awaySlots = away+load, awaySlots+v.Slots
-				if t.shared && v.isObserved(now) {
-					observedLoad, observedSlots = observedLoad+load, observedSlots+v.Slots
-				}
+				out.near, out.nearSlots = out.near+load, out.nearSlots+v.Slots
+				continue
+			}
+			out.away, out.awaySlots = out.away+load, out.awaySlots+v.Slots
+			if t.shared && v.isObserved(now) {
+				out.observed, out.observedSlots = out.observed+load, out.observedSlots+v.Slots
 			}
 		}
 	}
-	if nearSlots == 0 {
+	return out
+}
+
+// tick moves the share of other regions toward the value at which the load of the
+// near servers is at the overflow threshold, or to the planned one if that is less.
+func (s *service) tick(t *Table, now time.Time) {
+	s.forgetRates(now)
+	s.count.tick()
+	l := s.loads(t, now)
+	if l.nearSlots == 0 {
+		return
+	}
+	s.nearLoad += loadGain * (l.near/float64(l.nearSlots) - s.nearLoad)
+	if l.awaySlots == 0 {
 		return
 	}
-	s.nearLoad += loadGain * (near/float64(nearSlots) - s.nearLoad)
-	if awaySlots == 0 {
+	if l.observedSlots > 0 {
+		s.awayLoad += loadGain * (l.observed/float64(l.observedSlots) - s.awayLoad)
+	}
+	if planned, ok := s.plan(t, now); ok {
+		s.follow(t, planned, now)
 		return
 	}
-	target := 0.0
 	threshold := t.interpolate(s, overflowNear, overflowFar)
-	if observedSlots > 0 {
-		s.awayLoad += loadGain * (observedLoad/float64(observedSlots) - s.awayLoad)
+	if l.observedSlots > 0 {
 		threshold = max(threshold, awayMargin*s.awayLoad)
 	}
-	if demand := s.nearLoad / max(1-maxRemoteShare, 1-s.remoteShare); demand > threshold {
-		target = 1 - threshold/demand
-	}
-	if away/float64(awaySlots) > 1 {
+	target := s.shareAt(threshold)
+	if l.away/float64(l.awaySlots) > 1 {
 		target = min(target, s.remoteShare)
 	}
-	step := t.opt.Bounds.MaxRegionShift * shiftFraction * tickInterval.Seconds()
+	s.moveShare(t, target, shiftFraction)
+}
+
+// shareAt returns the share of other regions at which the near servers have the given load.
+func (s *service) shareAt(load float64) float64 {
+	if all := s.nearLoad / max(1-maxRemoteShare, 1-s.remoteShare); all > load {
+		return 1 - load/all
+	}
+	return 0
+}
+
+// follow moves the share toward the planned one, as far as the near servers have load.
+func (s *service) follow(t *Table, planned float64, now time.Time) {
+	first := !s.planned && now.Sub(s.firstRequest) <= planTime
+	s.planned = true
+	if first {
+		// Nothing was known of the demand before the first requests, and the bound is on
+		// changes from one moment to the next.
+		s.remoteShare = min(maxRemoteShare, planned)
+		return
+	}
+	if share, ok := s.peerShare(now); ok {
+		s.remoteShare += shareGain * (share - s.remoteShare)
+	}
+	s.moveShare(t, min(planned, s.shareAt(t.interpolate(s, overflowNear, overflowFar))), plannedShiftFraction)
+}
+
+// moveShare moves the share toward the target, by as much per second as the fraction of the
+// bound on shifts allows.
+func (s *service) moveShare(t *Table, target, fraction float64) {
+	step := t.opt.Bounds.MaxRegionShift * fraction * tickInterval.Seconds()
 	s.remoteShare = min(maxRemoteShare, max(0, s.remoteShare+math.Copysign(min(step, math.Abs(target-s.remoteShare)), target-s.remoteShare)))
 }
 
--- a/internal/traffic/placement/shared_model_test.go
+++ b/internal/traffic/placement/shared_model_test.go
@@ -21,8 +21,10 @@
 		order      []*lruServer
 		open       []completion
 		shared     bool
-		demand     demand
+		demand     load
 		out, start sharedOutcome
+		// windows holds the requests of each region by windows of two seconds.
+		windows [3][]regionWindow
 	}
 
 	// lruServer is a server that keeps the objects of its latest runs, the latest first.
@@ -47,13 +49,17 @@
 		busiest, idle, copies float64
 	}
 
-	// demand is the load of the model: requests a second and servers of each region, in
+	// load is the load of the model: requests a second and servers of each region, in
 	// shares of the whole.
-	demand struct {
+	load struct {
 		perSecond float64
 		callers   [3]float64
 		servers   [3]int
 		seconds   int
+		// at, if it is set, is the factor of the load of a region in a second, and bound the
+		// share of all requests that only the first region may serve.
+		at    func(region, second int) float64
+		bound float64
 		// warm and cold are the times of work on known and other objects. With uneven set,
 		// 15 in 100 machines are 2.5 times slower, others every 0.6 s, and 3 in 100 runs
 		// last seven times as long.
@@ -74,11 +80,11 @@
 var (
 	modelRegions = [3]sassafrastray.RegionName{"north", "south", "west"}
 	modelDomains = [3]sassafrastray.DomainName{"n-1", "s-1", "w-1"}
-	evenDemand   = demand{perSecond: 0.85 * 438 / modelWarm.Seconds(), warm: modelWarm, cold: modelCold, callers: [3]float64{1. / 3, 1. / 3, 1. / 3}, servers: [3]int{49, 49, 48}, seconds: 20}
-	unevenDemand = demand{perSecond: 493, warm: modelWarm, cold: modelCold, callers: [3]float64{1. / 3, 1. / 3, 1. / 3}, servers: [3]int{15, 66, 65}, seconds: 14}
+	evenDemand   = load{perSecond: 0.85 * 438 / modelWarm.Seconds(), warm: modelWarm, cold: modelCold, callers: [3]float64{1. / 3, 1. / 3, 1. / 3}, servers: [3]int{49, 49, 48}, seconds: 20}
+	unevenDemand = load{perSecond: 493, warm: modelWarm, cold: modelCold, callers: [3]float64{1. / 3, 1. / 3, 1. / 3}, servers: [3]int{15, 66, 65}, seconds: 14}
 )
 
-func newSharedModel(d demand, shared bool, seed uint64) *sharedModel {
+func newSharedModel(d load, shared bool, seed uint64) *sharedModel {
 	m := &sharedModel{rng: rand.New(rand.NewPCG(seed, 9)), servers: map[sassafrastray.BackendName]*lruServer{}, shared: shared, demand: d}
 	var all []sassafrastray.BackendServer
 	for r := range modelRegions {
@@ -160,13 +166,17 @@
 	}
 	r := request(object)
 	r.Objective, r.TimeLeft = 500*time.Millisecond, 2*time.Second
+	if m.demand.bound > 0 && m.rng.Float64() < m.demand.bound {
+		r.Regions[0] = modelRegions[:1]
+	}
 	c, ok := t.Pick(r, now)
 	count(&out.all, true)
+	s := m.servers[c.Server.Name]
+	m.countWindow(region, s, ok, now)
 	if !ok {
 		count(&out.refused, true)
 		return
 	}
-	s := m.servers[c.Server.Name]
 	way := t.distance(c.server.region) / 2
 	if s.load >= 3*(1+shedQueue) {
 		count(&out.shed, true)
@@ -198,14 +208,27 @@
 	m.open = slices.Insert(m.open, i, completion{at, done})
 }
 
-// exchange lets each VM of a region send a heartbeat to each other once a second.
+// exchange lets each VM of a region send a heartbeat to each other, and to one of each other
+// region, once a second.
 func (m *sharedModel) exchange(ms int, now time.Time) {
+	for r, tables := range m.tables {
+		for a, to := range tables {
+			if from := (r + 1 + ms/500%2) % len(m.tables); (a*397+r*151)%500 == ms%500 {
+				reports := m.tables[from][a].RegionReports(now)
+				m.at(now.Add(55*time.Millisecond), func() { to.ReceiveRegion(modelRegions[from], reports, now.Add(55*time.Millisecond)) })
+			}
+		}
+	}
 	for _, tables := range m.tables {
 		for a, from := range tables {
 			for b, to := range tables {
 				if a != b && (a*397+b*151)%1000 == ms%1000 {
 					runs := from.RunReports(64, now)
-					m.at(now.Add(5*time.Millisecond), func() { to.ReceiveRuns(runs, now.Add(5*time.Millisecond)) })
+					shares := from.ShareReports(now)
+					m.at(now.Add(5*time.Millisecond), func() {
+						to.ReceiveRuns(runs, now.Add(5*time.Millisecond))
+						to.ReceiveShares(sassafrastray.VMName(fmt.Sprint(a)), shares, now.Add(5*time.Millisecond))
+					})
 				}
 			}
 		}
@@ -230,7 +253,7 @@
 
 // play runs the model. Objects belong to regions; the popularity of the nth is in
 // proportion to n to the power of -0.8.
-func (m *sharedModel) play(d demand) sharedOutcome {
+func (m *sharedModel) play(d load) sharedOutcome {
 	var popularity []float64
 	total := 0.0
 	for i := range modelObjects {
@@ -258,7 +281,11 @@
 			samples++
 		}
 		for r := range modelRegions {
-			for left := d.perSecond * d.callers[r] / 1000; m.rng.Float64() < left; left-- {
+			left := d.perSecond * d.callers[r] / 1000
+			if d.at != nil {
+				left *= d.at(r, ms/1000)
+			}
+			for ; m.rng.Float64() < left; left-- {
 				i, _ := slices.BinarySearch(popularity, m.rng.Float64()*total)
 				m.send(r, fmt.Sprint(r, "-", i), now)
 			}
@@ -290,11 +317,11 @@
 	over.perSecond = 1.15 / 0.85 * evenDemand.perSecond
 	for _, c := range []struct {
 		name string
-		demand
+		load
 	}{{"usual", usual}, {"0.85 of the slots", evenDemand}, {"1.15 of the slots", over}, {"uneven regions", unevenDemand}} {
 		t.Run(c.name, func(t *testing.T) {
-			own, m := newSharedModel(c.demand, false, 1), newSharedModel(c.demand, true, 1)
-			before, after := own.play(c.demand), m.play(c.demand)
+			own, m := newSharedModel(c.load, false, 1), newSharedModel(c.load, true, 1)
+			before, after := own.play(c.load), m.play(c.load)
 			t.Logf("own responses:  first %v\nthen %v", own.start, before)
 			t.Logf("shared reports: first %v\nthen %v", m.start, after)
 			if after.inTime <= before.inTime || m.start.inTime <= own.start.inTime {
