--- a/internal/traffic/placement/service.go
+++ b/internal/traffic/placement/service.go
@@ -41,10 +41,6 @@
 	// by which the share may change per second.
 	shiftFraction = 0.2
 
-	// plannedShiftFraction replaces shiftFraction where the VMs of a region follow a plan
-	// that they all compute from the same figures.
-	plannedShiftFraction = 0.3
-
 	// loadGain is the weight of a new load sample in its moving average.
 	loadGain = 0.2
 
@@ -276,7 +272,7 @@
 	if l.away/float64(l.awaySlots) > 1 {
 		target = min(target, s.remoteShare)
 	}
-	s.moveShare(t, target, shiftFraction)
+	s.moveShare(t, target)
 }
 
 // shareAt returns the share of other regions at which the near servers have the given load.
@@ -300,13 +296,12 @@
 	if share, ok := s.peerShare(now); ok {
 		s.remoteShare += shareGain * (share - s.remoteShare)
 	}
-	s.moveShare(t, min(planned, s.shareAt(t.interpolate(s, overflowNear, overflowFar))), plannedShiftFraction)
+	s.moveShare(t, min(planned, s.shareAt(t.interpolate(s, overflowNear, overflowFar))))
 }
 
-// moveShare moves the share toward the target, by as much per second as the fraction of the
-// bound on shifts allows.
-func (s *service) moveShare(t *Table, target, fraction float64) {
-	step := t.opt.Bounds.MaxRegionShift * fraction * tickInterval.Seconds()
+// moveShare moves the share toward the target, by a step for one tick.
+func (s *service) moveShare(t *Table, target float64) {
+	step := t.opt.Bounds.MaxRegionShift * shiftFraction * tickInterval.Seconds()
 	s.remoteShare = min(maxRemoteShare, max(0, s.remoteShare+math.Copysign(min(step, math.Abs(target-s.remoteShare)), target-s.remoteShare)))
 }
 
