Leave the region that requests go to to the choice of servers

Cause: the plan divided what leaves a region among the others by their room. Objects changed their region with these figures, and servers had to learn them again.

The choice of servers picks among all other regions again, as before the plan, which still decides how much leaves.

--- a/internal/traffic/placement/forecast.go
+++ b/internal/traffic/placement/forecast.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -132,8 +131,7 @@
 		return out
 	}
 	c := *svc
-	c.count, c.weights = demandCount{demand: newDemand()}, maps.Clone(svc.weights)
-	c.peers, c.others = maps.Clone(svc.peers), maps.Clone(svc.others)
+	c.count = demandCount{demand: newDemand()}
 	c.servers = make(map[sassafrastray.RegionName][]*server, len(svc.servers))
 	for region, list := range svc.servers {
 		for _, s := range list {
--- a/internal/traffic/placement/pick.go
+++ b/internal/traffic/placement/pick.go
@@ -83,11 +83,6 @@
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 
-	// shareSeed and awaySeed distinguish the places of an object among all objects and among
-	// those that go to other regions.
-	shareSeed = 0x9e3779b97f4a7c15
-	awaySeed  = 0xbf58476d1ce4e5b9
-
 	// noServerRetryAfter is the time to retry after if no server is known.
 	noServerRetryAfter = time.Second
 )
@@ -299,12 +294,9 @@
 		return 0, t.rng.Float64()
 	}
 	hash = xxhash.Sum64String(r.Object)
-	return hash, placeOf(hash, shareSeed)
+	return hash, float64(mix(hash, 0x9e3779b97f4a7c15)>>11) / (1 << 53)
 }
 
-// placeOf returns a number from 0 up to 1 that depends on the object and a seed alone.
-func placeOf(object, seed uint64) float64 { return float64(mix(object, seed)>>11) / (1 << 53) }
-
 // reserve counts a request at the server until Done.
 func (t *Table) reserve(c candidate, object uint64, reason Reason, now time.Time) Choice {
 	s := c.server
--- a/internal/traffic/placement/plan.go
+++ b/internal/traffic/placement/plan.go
@@ -167,14 +167,12 @@
 	return sum / max(weight, minDemand), weight >= minDemand
 }
 
-// plan computes from the demand of all regions the share of objects that this one should send
-// away, and moves the weights of the others toward the room that they have. A region has room
-// up to the mean demand per slot, and sends away what it has beyond evenMargin times the mean.
-// It returns false if a region with servers has not reported.
+// plan returns the share of objects that this region should send away, from the demand of all
+// regions: what the demand for its servers has beyond evenMargin times the mean of all regions
+// by slots. It returns false if a region with servers has not reported.
 func (s *service) plan(t *Table, now time.Time) (share float64, ok bool) {
 	all, slots := s.regionDemand(t, now), 0
 	free := all.free
-	demands := map[sassafrastray.RegionName]float64{t.opt.Region: free}
 	for _, region := range s.regions {
 		n := s.slots(region)
 		slots += n
@@ -184,35 +182,20 @@
 		other := s.others[region]
 		switch {
 		case now.Sub(other.at) <= shareTime:
-			demands[region] = other.demand.free
 			all.add(&other.demand)
 		case n > 0:
 			return 0, false
 		}
 	}
-	total := all.free
-	for region, n := range all.bound {
-		total += n
-		demands[region] += n
-	}
 	ownSlots := s.slots(t.opt.Region)
 	if ownSlots == 0 || ownSlots == slots || free < minDemand {
 		return 0, false
 	}
-	mean := total / float64(slots)
-	rooms, sum := make(map[sassafrastray.RegionName]float64), 0.0
-	for _, region := range s.regions {
-		if region != t.opt.Region {
-			rooms[region] = max(0, mean*float64(s.slots(region))-demands[region])
-			sum += rooms[region]
-		}
-	}
-	for region, n := range rooms {
-		if sum > 0 {
-			s.weights[region] += shareGain * (n/sum - s.weights[region])
-		}
+	total, demand := all.free, free+all.bound[t.opt.Region]
+	for _, n := range all.bound {
+		total += n
 	}
-	excess := demands[t.opt.Region] - evenMargin*mean*float64(ownSlots)
+	excess := demand - evenMargin*total*float64(ownSlots)/float64(slots)
 	return min(1, max(0, excess/free)), true
 }
 
@@ -227,23 +210,6 @@
 	return n
 }
 
-// awayRegion returns the region to which an object goes that leaves the VM's region, or "" if
-// there is no plan. point is the object's position among those, from 0 up to 1.
-func (s *service) awayRegion(point float64) sassafrastray.RegionName {
-	sum := 0.0
-	for _, n := range s.weights {
-		sum += n
-	}
-	for _, region := range s.regions {
-		if n := s.weights[region]; n > 0 {
-			if point -= n / sum; point < 0 {
-				return region
-			}
-		}
-	}
-	return ""
-}
-
 // ShareReports returns what the other VMs of the region are told, for the services that this
 // VM had requests for lately.
 func (t *Table) ShareReports(now time.Time) []ShareReport {
--- a/internal/traffic/placement/rank.go
+++ b/internal/traffic/placement/rank.go
@@ -21,36 +21,7 @@
 		}
 		return local, remote
 	}
-	local = t.rankServers(svc, localServers, near, r, object, true, now)
-	if inRemoteShare {
-		remote = t.rankServers(svc, t.planned(svc, remoteServers, object), "", r, object, true, now)
-	}
-	if remote.best.server == nil {
-		remote = t.rankServers(svc, remoteServers, "", r, object, inRemoteShare, now)
-	}
-	return local, remote
-}
-
-// planned returns those of the servers that are in the region to which the object goes by the
-// plan, or all of them if there is no plan.
-func (t *Table) planned(svc *service, remote []*server, object uint64) []*server {
-	if len(svc.weights) == 0 {
-		return remote
-	}
-	point := placeOf(object, awaySeed)
-	if object == 0 {
-		point = t.rng.Float64()
-	}
-	region := svc.awayRegion(point)
-	from := slices.IndexFunc(remote, func(s *server) bool { return s.region == region })
-	if from < 0 {
-		return remote
-	}
-	to := from
-	for to < len(remote) && remote[to].region == region {
-		to++
-	}
-	return remote[from:to]
+	return t.rankServers(svc, localServers, near, r, object, true, now), t.rankServers(svc, remoteServers, "", r, object, inRemoteShare, now)
 }
 
 // allowedServers returns the servers of the VM's region and those of all other regions, as far
--- a/internal/traffic/placement/service.go
+++ b/internal/traffic/placement/service.go
@@ -110,8 +110,6 @@
 	count  demandCount
 	peers  map[sassafrastray.VMName]regionState
 	others map[sassafrastray.RegionName]regionState
-	// weights divides the objects that go away among the other regions.
-	weights map[sassafrastray.RegionName]float64
 }
 
 func newService(name sassafrastray.ServiceName) *service {
@@ -121,7 +119,6 @@
 		base:    make(map[sassafrastray.VersionName]bool), capacity: initialCapacity, rates: make(map[uint32]rate),
 		slowdown: average{value: 1, count: 1}, count: demandCount{demand: newDemand()},
 		peers: make(map[sassafrastray.VMName]regionState), others: make(map[sassafrastray.RegionName]regionState),
-		weights: make(map[sassafrastray.RegionName]float64),
 	}
 }
 
