Log and measure when a request is sent to its server

Whether the requests after a load are second tries, or those that were on their way, could not be told from the logs: they had the choice and the end of a request only. The log line has sentAfter now, and send_delay_seconds the time until a request is sent, for near servers and for those of other regions.

--- a/internal/traffic/entry/metrics.go
+++ b/internal/traffic/entry/metrics.go
@@ -25,6 +25,9 @@
 	Sheds    *prometheus.CounterVec
 	Retries  *prometheus.CounterVec
 	Bytes    *prometheus.CounterVec
+	// SendDelay is the time from the choice of a backend server until the first byte of the
+	// request is sent there.
+	SendDelay *prometheus.HistogramVec
 	Choices  *prometheus.CounterVec
 	Lookups  prometheus.Counter
 	// Knowledge and ReportAge are only used where VMs share reports of runs.
@@ -55,6 +58,10 @@
 		Bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "answer_bytes_total", Help: "Bytes of answers' bodies passed on.",
 		}, []string{"service"}),
+		SendDelay: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "send_delay_seconds", Help: "Time from the choice of a backend server until the request is sent, with the time to open a connection, by the server's region.",
+			Buckets: latencyBuckets,
+		}, []string{"region"}),
 		Choices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "choices_total", Help: "Choices of a VM for a request, by reason.",
 		}, []string{"reason"}),
@@ -75,7 +82,7 @@
 			Namespace: namespace, Name: "admission_level", Help: "Share of the requests of priority 1 that the load of a region's backend servers allows, above 1 if less urgent ones are admitted too.",
 		}, []string{"service", "region"}),
 	}
-	r.MustRegister(m.Requests, m.Latency, m.Sheds, m.Retries, m.Bytes, m.Choices, m.Lookups, m.Knowledge, m.ReportAge, m.Refusals, m.Level)
+	r.MustRegister(m.Requests, m.Latency, m.Sheds, m.Retries, m.Bytes, m.SendDelay, m.Choices, m.Lookups, m.Knowledge, m.ReportAge, m.Refusals, m.Level)
 	return m
 }
 
--- a/internal/traffic/ingress/log.go
+++ b/internal/traffic/ingress/log.go
@@ -43,6 +43,9 @@
 		args = append(args, "through", q.helper)
 	}
 	args = appendChoice(args, &q.choice)
+	if !q.sentAt.IsZero() {
+		args = append(args, "sentAfter", q.sentAt.Sub(q.arrived))
+	}
 	answered, refused := message.Answered, message.Refused
 	if q.relayed != nil {
 		answered, refused = message.RelayedAnswered, message.RelayedRefused
@@ -71,6 +74,9 @@
 		args = append(args, "through", a.helper)
 	}
 	args = appendChoice(args, &a.choice)
+	if !a.sentAt.IsZero() {
+		args = append(args, "sentAfter", a.sentAt.Sub(a.start))
+	}
 	if r == nil {
 		args = append(args, "reason", "failure", "status", a.resp.StatusCode())
 	} else {
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -78,6 +78,8 @@
 	// runs is the number of tries that a server may have run.
 	runs   int
 	choice placement.Choice
+	// sentAt is when the first byte of the last try was sent, zero if it was not.
+	sentAt time.Time
 	// helper is the VM that the request was last relayed to.
 	helper sassafrastray.VMName
 	// relayed is set if another VM relays the request to this one.
--- a/internal/traffic/ingress/serve.go
+++ b/internal/traffic/ingress/serve.go
@@ -261,6 +261,7 @@
 	end := h.limitTry(q, a, x, exclude)
 	h.await(a, x, req)
 	end()
+	q.sentAt = a.sentAt
 	if a.out.Sent {
 		q.sent++
 	}
--- a/internal/traffic/ingress/usage.go
+++ b/internal/traffic/ingress/usage.go
@@ -6,16 +6,25 @@
 	"sassafrastray/internal/traffic/upstream"
 )
 
-// beginRun counts the run of a team's request whose first byte is about to be sent to the
-// attempt's server. It begins there half a round trip later.
+// beginRun records that the first byte of a request is about to be sent to the attempt's
+// server, and counts the run of a team's request. It begins there half a round trip later.
 func (h *Handler) beginRun(q *request, a *attempt) {
+	a.sentAt = h.Clock.Now()
+	h.Metrics.SendDelay.WithLabelValues(regionLabel(a.choice.Distance)).Observe(a.sentAt.Sub(a.start).Seconds())
 	if h.Usage == nil || q.team == "" {
 		return
 	}
-	a.sentAt = h.Clock.Now()
 	a.run = h.Usage.Begin(q.team, a.choice.Distance/2)
 }
 
+// regionLabel returns the value of metrics' label region, by the round trip to the server.
+func regionLabel(distance time.Duration) string {
+	if distance > 0 {
+		return "other"
+	}
+	return "near"
+}
+
 // endRun records whether the attempt's request ran.
 func (h *Handler) endRun(a *attempt, ran bool) {
 	if h.Usage == nil || a.run == 0 {
