--- a/internal/traffic/entry/metrics.go
+++ b/internal/traffic/entry/metrics.go
@@ -28,8 +28,8 @@
 	// SendDelay is the time from the choice of a backend server until the first byte of the
 	// request is sent there.
 	SendDelay *prometheus.HistogramVec
-	Choices  *prometheus.CounterVec
-	Lookups  prometheus.Counter
+	Choices   *prometheus.CounterVec
+	Lookups   prometheus.Counter
 	// Knowledge and ReportAge are only used where VMs share reports of runs.
 	Knowledge *prometheus.CounterVec
 	ReportAge prometheus.Histogram
