Keep unused connections for as long as their server states

What callers saw: requests to servers of other regions take two round trips more than needed, and come late or time out. After a load, those that wait for a connection are the last to reach a server, so that the share of other regions in what is left jumps (SHIFT).

Cause: a VM sends a request to a given server of another region every 12 s or so, and closed unused connections after 8 s, or after 5 s before a request that must not run twice. Servers state in Keep-Alive that they keep them for 10 s.

The pool goes by that statement, less a second and up to a minute, and by its own times only where a server states none. Such a connection may carry any request: keep-alive probes end a silent one within 6 s.

SHIFT at the end of a load is not mended by it.

--- a/internal/fleet/edge/edge.go
+++ b/internal/fleet/edge/edge.go
@@ -67,11 +67,12 @@
 	maxInnerDials = 8
 
 	// idleConnTimeout is how long an unused connection to a backend server or a VM
-	// is kept, and maxIdleConns the maximum number of them per address.
+	// is kept if that does not state how long it keeps it, and maxIdleConns the maximum
+	// number of them per address.
 	idleConnTimeout = 8 * time.Second
 	maxIdleConns    = 16
 
-	// freshConnAge is how long an unused connection may carry a request that must
+	// freshConnAge is how long such a connection may carry a request that must
 	// not run twice. Opening another connection costs two round trips between
 	// regions.
 	freshConnAge = 5 * time.Second
--- a/internal/traffic/upstream/exchange.go
+++ b/internal/traffic/upstream/exchange.go
@@ -53,8 +53,9 @@
 	// Call is one request to one address.
 	Call struct {
 		Address netip.AddrPort
-		// RequireFresh asks for a connection that is new or carried a response
-		// within Options.FreshFor, for requests that must not be executed twice.
+		// RequireFresh asks for a connection that is new, carried a response within
+		// Options.FreshFor or is kept open by the other side's own word, for requests
+		// that must not be executed twice.
 		RequireFresh bool
 		// Deadline bounds the exchange up to the last byte of the response.
 		Deadline time.Time
--- a/internal/traffic/upstream/pool.go
+++ b/internal/traffic/upstream/pool.go
@@ -33,6 +33,10 @@
 	// in which it is no longer reused.
 	idleCloseMargin = time.Second
 
+	// maxIdleTimeout bounds how long an unused connection is kept that the other side keeps
+	// open for longer.
+	maxIdleTimeout = time.Minute
+
 	// rememberedIDs is the number of requests whose IDs a connection remembers.
 	rememberedIDs = 4
 
@@ -65,7 +69,8 @@
 		// MaxDials bounds the connections that are being opened at the same time. Further
 		// calls wait. Zero means no bound.
 		MaxDials int
-		// IdleTimeout is how long an unused connection is kept.
+		// IdleTimeout is how long an unused connection is kept if the other side does not
+		// state how long it keeps it.
 		IdleTimeout time.Duration
 		// MaxIdlePerAddress is how many unused connections are kept per address.
 		MaxIdlePerAddress int
@@ -74,7 +79,8 @@
 		// response with the ID of its request, and not for a request without one.
 		IDHeader string
 		// FreshFor is how long after its last complete response a connection may
-		// carry a request that must not be executed twice; zero means one second.
+		// carry a request that must not be executed twice if the other side does not
+		// state how long it keeps it; zero means one second.
 		FreshFor time.Duration
 		// MaxDiscarded is how many responses to other requests an exchange may
 		// discard before the one that belongs to its request.
@@ -196,8 +202,7 @@
 	list := p.idle[address]
 	for i := len(list) - 1; i >= 0; i-- {
 		c := list[i]
-		age := now.Sub(c.lastUsed)
-		stale := age > p.idleTimeout(c) || (call.RequireFresh && age > p.opt.FreshFor) || c.opened.Before(p.timedOutAt[address])
+		stale := now.Sub(c.lastUsed) > p.idleTimeout(c, call.RequireFresh) || c.opened.Before(p.timedOutAt[address])
 		if !stale && slices.Contains(c.carried[:], hash) {
 			continue
 		}
@@ -226,12 +231,18 @@
 	c.next = (c.next + 1) % len(c.carried)
 }
 
-// idleTimeout returns how long the connection may stay unused.
-func (p *Pool) idleTimeout(c *conn) time.Duration {
-	if c.peerIdleTimeout > 0 {
-		return min(p.opt.IdleTimeout, max(0, c.peerIdleTimeout-idleCloseMargin))
+// idleTimeout returns how long the connection may stay unused. If the other side states when
+// it closes the connection, it may carry any request until then: keep-alive probes find a
+// connection that has gone silent.
+func (p *Pool) idleTimeout(c *conn, requireFresh bool) time.Duration {
+	switch {
+	case c.peerIdleTimeout > 0:
+		return min(maxIdleTimeout, max(0, c.peerIdleTimeout-idleCloseMargin))
+	case requireFresh:
+		return min(p.opt.IdleTimeout, p.opt.FreshFor)
+	default:
+		return p.opt.IdleTimeout
 	}
-	return p.opt.IdleTimeout
 }
 
 func (p *Pool) dial(address netip.AddrPort, now, deadline time.Time) (*conn, error) {
@@ -381,7 +392,7 @@
 	for a, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.lastUsed) > p.idleTimeout(c) || !reusable(c.Conn) {
+			if now.Sub(c.lastUsed) > p.idleTimeout(c, false) || !reusable(c.Conn) {
 				c.Close()
 				continue
 			}
