Let the share of other regions follow their load, too

Cause: the plan counts requests. Bound requests are of rare objects and cost three times as much work, so the demand of oshana looked even while its servers had 0.8 to 1.0 requests per slot and the others 0.35 to 0.55.

A region now sends as much away as the plan says, or as much as brings its load to 1.3 times that of the others, whichever is more, at the same pace as before. Where all are loaded alike only the plan counts.

TestShareFollowsLoad fails without the change (share 0.30, 0.74 expected).

--- a/internal/traffic/placement/plan.go
+++ b/internal/traffic/placement/plan.go
@@ -199,6 +199,17 @@
 	return min(1, max(0, excess/free)), true
 }
 
+// othersLoad returns the requests per slot of the servers of the other regions, as their VMs report it.
+func (s *service) othersLoad(t *Table) float64 {
+	load, slots := 0.0, 0
+	for _, region := range s.regions {
+		if n := s.slots(region); region != t.opt.Region {
+			load, slots = load+s.others[region].load*float64(n), slots+n
+		}
+	}
+	return load / float64(max(1, slots))
+}
+
 // slots returns the slots of the service's servers in a region.
 func (s *service) slots(region sassafrastray.RegionName) int {
 	n := 0
--- a/internal/traffic/placement/plan_test.go
+++ b/internal/traffic/placement/plan_test.go
@@ -146,3 +146,42 @@
 		t.Errorf("peers %+v, others %+v", svc.peers, svc.others)
 	}
 }
+
+// TestShareFollowsLoad guards against a region that takes its requests back by the plan, which
+// counts requests, while its servers have more load than others: requests that are bound to them
+// then wait or fail although the others could go elsewhere.
+func TestShareFollowsLoad(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// plan is the planned share. bound is the load of the region's servers by requests
+		// that may not leave, and free that by the others if none of them leaves.
+		plan, bound, free float64
+		// south and west are the loads of the other regions.
+		south, west float64
+		want        float64
+	}{
+		{name: "as planned", plan: 0.3, free: 0.8, south: 0.6, west: 0.6, want: 0.3},
+		{name: "free requests cause more load than planned", plan: 0.3, free: 3, south: 0.6, west: 0.6, want: 1 - 1.3*0.6/3},
+		{name: "bound requests cause more load than planned", plan: 0.3, bound: 0.6, free: 1, south: 0.4, west: 0.4, want: maxRemoteShare},
+		{name: "the others have as much load", plan: 0.3, free: 2, south: 1.2, west: 1.1, want: 0.3},
+		{name: "one of the others has room", plan: 0, free: 2, south: 1.2, west: 0.2, want: 1 - 1.3*0.7/2},
+		{name: "idle beside idle regions", plan: 0.3, free: 0.3, south: 0.1, west: 0.1, want: 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			load := func(l float64) ShareReport { return ShareReport{Free: 10, Load: int(math.Round(l / shareUnit))} }
+			table, _, ok := planned(demand{free: 100}, map[sassafrastray.RegionName]ShareReport{"south": load(c.south), "west": load(c.west)})
+			if !ok {
+				t.Fatal("no plan")
+			}
+			svc := table.services["s"]
+			svc.planned, svc.remoteShare = true, c.plan
+			for range 300 {
+				svc.nearLoad = c.bound + c.free*(1-svc.remoteShare)
+				svc.follow(table, c.plan, start)
+			}
+			if math.Abs(svc.remoteShare-c.want) > 0.02 {
+				t.Errorf("share %.3f, want %.3f", svc.remoteShare, c.want)
+			}
+		})
+	}
+}
--- a/internal/traffic/placement/service.go
+++ b/internal/traffic/placement/service.go
@@ -280,7 +280,9 @@
 	return 0
 }
 
-// follow moves the share toward the planned one, as far as the near servers have load.
+// follow moves the share toward the planned one, or further if the near servers have more load than
+// those of other regions, since requests differ in the load that they cause. It does so as far as
+// the near servers have load.
 func (s *service) follow(t *Table, planned float64, now time.Time) {
 	first := !s.planned && now.Sub(s.firstRequest) <= planTime
 	s.planned = true
@@ -293,7 +295,8 @@
 	if share, ok := s.peerShare(now); ok {
 		s.remoteShare += shareGain * (share - s.remoteShare)
 	}
-	s.moveShare(t, min(planned, s.shareAt(t.interpolate(s, overflowNear, overflowFar))))
+	target := max(planned, s.shareAt(awayMargin*s.othersLoad(t)))
+	s.moveShare(t, min(target, s.shareAt(t.interpolate(s, overflowNear, overflowFar))))
 }
 
 // moveShare moves the share toward the target, by a step for one tick.
