Take back the plans that hold at once for 1.5 s

Cause: a share that a VM corrects a second after the start changes the region of requests between the first two windows of 2 s.

--- a/internal/traffic/placement/service.go
+++ b/internal/traffic/placement/service.go
@@ -57,7 +57,7 @@
 	// arrive before the VM knows how large the fleet is.
 	shareResetTime = time.Second
 
-	// planTime is how long after a service's first request plans hold at once.
+	// planTime is how long after a service's first request the first plan holds at once.
 	planTime = 1500 * time.Millisecond
 )
 
@@ -78,8 +78,8 @@
 	shareSet bool
 	// firstRequest and lastRequest are the times of the service's first and latest requests.
 	firstRequest, lastRequest time.Time
-	// joined is set if the first share is that of the other VMs of the region.
-	joined bool
+	// planned is set once the demand of all regions has been known.
+	planned bool
 	// remoteShare is the fraction of objects that go to other regions.
 	remoteShare float64
 	// nearLoad is the moving average of requests per slot in the VM's
@@ -172,7 +172,7 @@
 		return
 	}
 	if share, ok := s.peerShare(now); ok {
-		s.remoteShare, s.shareSet, s.joined = share, true, true
+		s.remoteShare, s.shareSet, s.planned = share, true, true
 		return
 	}
 	near, all := 0, 0
@@ -284,10 +284,11 @@
 // those of other regions, since requests differ in the load that they cause. It does so as far as
 // the near servers have load.
 func (s *service) follow(t *Table, planned float64, now time.Time) {
-	if !s.joined && now.Sub(s.firstRequest) <= planTime {
+	first := !s.planned && now.Sub(s.firstRequest) <= planTime
+	s.planned = true
+	if first {
 		// Nothing was known of the demand before the first requests, and the bound is on
-		// changes from one moment to the next. The first reports of other regions may be
-		// from before their first requests.
+		// changes from one moment to the next.
 		s.remoteShare = min(maxRemoteShare, planned)
 		return
 	}
